--- /dev/null
+++ b/Libraries/base/json_text.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace cyclamenledge::base {
+
+/// Escapes text for use between the quotes of a JSON string.
+std::string escape_json(std::string_view text);
+
+} // namespace cyclamenledge::base
--- /dev/null
+++ b/Libraries/settings/settings.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cyclamenledge::settings {
+
+enum class process_role : std::uint8_t { entry, agent };
+
+/// Bounds on what a caller may send.
+struct caller_limits {
+    std::size_t header_bytes{16 * 1024};
+    std::size_t body_bytes{1024 * 1024};
+    base::seconds header_timeout{30};
+    std::uint32_t connections{20000};
+};
+
+/// Settings of one daemon, read from YAML at start.
+struct process_settings {
+    process_role role{process_role::entry};
+    /// Name of this process; for an agent the name of its target.
+    std::string name;
+    std::string failure_domain;
+    std::string vm;
+    /// Worker threads of the event loop.
+    std::uint32_t threads{1};
+
+    /// Address for callers, as IP:PORT; entries only.
+    std::string caller_address;
+    /// Address for other processes of the system, as IP:PORT.
+    std::string peer_address;
+    /// Address for operators (state, health, metrics), as IP:PORT.
+    std::string operator_address;
+    /// Address of the target, as IP:PORT; agents only.
+    std::string target_address;
+
+    /// Configuration service, as IP:PORT. Without it, catalogue_file is read once at start.
+    std::optional<std::string> configuration_address;
+    std::optional<std::string> catalogue_file;
+    /// VM list, as IP:PORT.
+    std::optional<std::string> vm_list_address;
+    /// Processes asked for the newest configuration at start, as IP:PORT.
+    std::vector<std::string> peers;
+
+    /// Accepted shared keys of the protocol between processes. The first one signs.
+    std::vector<std::string> shared_keys;
+
+    caller_limits limits;
+    /// Time after SIGTERM during which new connections are still accepted.
+    base::milliseconds drain_accept{5000};
+    /// Longest time for running requests after SIGTERM. Without it, every request is finished.
+    std::optional<base::milliseconds> drain_limit;
+    std::string log_level{"info"};
+};
+
+} // namespace cyclamenledge::settings
