--- /dev/null
+++ b/Libraries/http/client.cpp
@@ -0,0 +1,60 @@
+#include "http/client.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <utility>
+
+namespace cyclamenledge::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+client_error make_client_error(request_progress progress, beast::error_code const& code) {
+    return {progress, base::make_error(base::error_kind::io_failed, code.message())};
+}
+
+} // namespace
+
+request make_request(beast_http::verb method, std::string_view path, std::string body) {
+    request message{method, beast::string_view{path.data(), path.size()}, http_version_1_1};
+    message.set(beast_http::field::host, "target");
+    if (!body.empty())
+        message.set(beast_http::field::content_type, "application/json");
+    message.body() = std::move(body);
+    message.prepare_payload();
+    return message;
+}
+
+asio::awaitable<client_result<response>> exchange(asio::ip::tcp::endpoint endpoint, request message,
+                                                  client_timeouts timeouts, std::size_t maximum_body_bytes) {
+    beast::tcp_stream stream{co_await asio::this_coro::executor};
+    stream.expires_after(timeouts.connect);
+    auto [connect_code] = co_await stream.async_connect(endpoint, use_tuple);
+    if (connect_code)
+        co_return make_client_error(request_progress::not_sent, connect_code);
+
+    stream.expires_after(timeouts.answer);
+    auto [write_code, written] = co_await beast_http::async_write(stream, message, use_tuple);
+    if (write_code)
+        co_return make_client_error(request_progress::sent, write_code);
+    beast::flat_buffer buffer;
+    beast_http::response_parser<beast_http::string_body> parser;
+    parser.body_limit(maximum_body_bytes);
+    auto [read_code, read] = co_await beast_http::async_read(stream, buffer, parser, use_tuple);
+    if (read_code)
+        co_return make_client_error(request_progress::sent, read_code);
+    co_return parser.release();
+}
+
+} // namespace cyclamenledge::http
--- /dev/null
+++ b/Libraries/http/endpoint.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "base/result.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <string>
+
+namespace cyclamenledge::http {
+
+/// Parses IP:PORT, with an IPv6 address in square brackets. Names are not resolved.
+base::result<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string const& address);
+
+} // namespace cyclamenledge::http
--- /dev/null
+++ b/Libraries/http/line_stream.cpp
@@ -0,0 +1,87 @@
+#include "http/line_stream.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <limits>
+
+namespace cyclamenledge::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t read_chunk_bytes = 8192;
+constexpr std::size_t maximum_line_bytes = 64UL * 1024;
+
+client_error make_client_error(request_progress progress, beast::error_code const& code) {
+    return {progress, base::make_error(base::error_kind::io_failed, code.message())};
+}
+
+} // namespace
+
+line_stream::line_stream(asio::any_io_executor executor)
+    : stream_(std::move(executor)) {
+    parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+asio::awaitable<client_result<unsigned>> line_stream::open(asio::ip::tcp::endpoint endpoint, request message,
+                                                           client_timeouts timeouts) {
+    stream_.expires_after(timeouts.connect);
+    auto [connect_code] = co_await stream_.async_connect(endpoint, use_tuple);
+    if (connect_code)
+        co_return make_client_error(request_progress::not_sent, connect_code);
+    beast::error_code ignored;
+    stream_.socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
+    stream_.expires_after(timeouts.answer);
+    auto [write_code, written] = co_await beast_http::async_write(stream_, message, use_tuple);
+    if (write_code)
+        co_return make_client_error(request_progress::sent, write_code);
+    auto [read_code, read] = co_await beast_http::async_read_header(stream_, buffer_, parser_, use_tuple);
+    if (read_code)
+        co_return make_client_error(request_progress::sent, read_code);
+    co_return parser_.get().result_int();
+}
+
+awaitable_result<std::string> line_stream::read_line(base::milliseconds timeout) {
+    std::array<char, read_chunk_bytes> chunk;
+    while (true) {
+        auto const end = pending_.find('\n', consumed_);
+        if (end != std::string::npos) {
+            std::string line = pending_.substr(consumed_, end - consumed_);
+            consumed_ = end + 1;
+            if (consumed_ == pending_.size()) {
+                pending_.clear();
+                consumed_ = 0;
+            }
+            if (!line.empty())
+                co_return line;
+            continue;
+        }
+        if (parser_.is_done())
+            co_return std::string{};
+        pending_.erase(0, consumed_);
+        consumed_ = 0;
+        if (pending_.size() > maximum_line_bytes)
+            co_return base::make_error(base::error_kind::protocol_error, "the target sent a line over the size limit");
+
+        parser_.get().body().data = chunk.data();
+        parser_.get().body().size = chunk.size();
+        stream_.expires_after(timeout);
+        auto [code, read] = co_await beast_http::async_read_some(stream_, buffer_, parser_, use_tuple);
+        if (code && code != beast_http::error::need_buffer)
+            co_return base::make_error(base::error_kind::io_failed, code.message());
+        pending_.append(chunk.data(), chunk.size() - parser_.get().body().size);
+    }
+}
+
+void line_stream::close() {
+    stream_.close();
+}
+
+} // namespace cyclamenledge::http
--- /dev/null
+++ b/Libraries/http/message.cpp
@@ -0,0 +1,42 @@
+#include "http/message.h"
+
+#include <utility>
+
+namespace cyclamenledge::http {
+
+namespace {
+
+constexpr std::int64_t milliseconds_per_second = 1000;
+
+}
+
+response make_response(unsigned status, std::string_view content_type, std::string body) {
+    response answer;
+    answer.version(http_version_1_1);
+    answer.result(status);
+    answer.set(beast_http::field::content_type, boost::beast::string_view{content_type.data(), content_type.size()});
+    answer.body() = std::move(body);
+    return answer;
+}
+
+response make_error_response(base::error const& failure) {
+    auto answer =
+        make_response(base::answer_for(failure.kind).http_status, "application/json", base::error_body(failure));
+    if (failure.retry_after) {
+        // Retry-After has whole seconds; rounding down would invite callers too early.
+        auto const whole_seconds =
+            (failure.retry_after->count() + milliseconds_per_second - 1) / milliseconds_per_second;
+        answer.set(beast_http::field::retry_after, std::to_string(whole_seconds));
+    }
+    return answer;
+}
+
+std::string_view header_value(request const& message, std::string_view name) {
+    auto const found = message.find(boost::beast::string_view{name.data(), name.size()});
+    if (found == message.end())
+        return {};
+    auto const value = found->value();
+    return {value.data(), value.size()};
+}
+
+} // namespace cyclamenledge::http
--- /dev/null
+++ b/Libraries/http/server.cpp
@@ -0,0 +1,101 @@
+#include "http/server.h"
+
+#include "http/endpoint.h"
+#include "log/logger.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace cyclamenledge::http {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Pause after a failed accept, for example when the process is out of file descriptors.
+constexpr base::milliseconds accept_retry_pause{50};
+
+bool is_input_error(base::error_kind kind) {
+    return kind != base::error_kind::link_lost && kind != base::error_kind::io_failed;
+}
+
+} // namespace
+
+server::server(asio::io_context& context, server_limits limits, request_handler& handler)
+    : context_(context)
+    , limits_(limits)
+    , handler_(handler)
+    , acceptor_(asio::make_strand(context)) {}
+
+base::result<void> server::listen(std::string const& address) {
+    BOOST_OUTCOME_TRY(auto const endpoint, parse_endpoint(address));
+    boost::system::error_code code;
+    acceptor_.open(endpoint.protocol(), code);
+    if (!code)
+        acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address{true}, code);
+    if (!code)
+        acceptor_.bind(endpoint, code);
+    if (!code)
+        acceptor_.listen(asio::socket_base::max_listen_connections, code);
+    if (code)
+        return base::make_error(base::error_kind::io_failed, "cannot listen on " + address + ": " + code.message());
+    asio::co_spawn(acceptor_.get_executor(), accept_sessions(), asio::detached);
+    return base::success();
+}
+
+void server::stop_accepting() {
+    stopping_ = true;
+    asio::post(acceptor_.get_executor(), [this] {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+    });
+}
+
+asio::awaitable<void> server::accept_sessions() {
+    while (!stopping_) {
+        auto [code, socket] =
+            co_await acceptor_.async_accept(asio::make_strand(context_), asio::as_tuple(asio::use_awaitable));
+        if (code && stopping_)
+            co_return;
+        if (code) {
+            asio::steady_timer timer{acceptor_.get_executor(), accept_retry_pause};
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
+        if (open_sessions_ >= limits_.connections)
+            continue; // The socket closes here; more connections would exhaust the process.
+        session_pointer const client{new session{std::move(socket), limits_}};
+        ++open_sessions_;
+        asio::co_spawn(client->executor(), serve(client), asio::detached);
+    }
+}
+
+asio::awaitable<void> server::serve(session_pointer client) {
+    while (true) {
+        auto received = co_await client->read_request();
+        if (!received) {
+            if (is_input_error(received.error().kind)) {
+                log::write(log::event_kind::caller_input_refused, {{"reason", received.error().message}});
+                client->end_after_answer();
+                co_await client->send(make_error_response(received.error()));
+            }
+            break;
+        }
+        if (stopping_)
+            client->end_after_answer();
+        co_await handler_.handle(client, std::move(received).value());
+        if (stopping_ || !client->keep_alive())
+            break;
+    }
+    client->close();
+    --open_sessions_;
+}
+
+} // namespace cyclamenledge::http
--- /dev/null
+++ b/Libraries/http/server.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "http/session.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <string>
+
+namespace cyclamenledge::http {
+
+/// What a server does with a request. One object serves all sessions.
+class request_handler {
+public:
+    request_handler() = default;
+    request_handler(request_handler const&) = delete;
+    request_handler& operator=(request_handler const&) = delete;
+    virtual ~request_handler() = default;
+
+    /// Answers the request through the session. The server reads the next request afterwards.
+    virtual boost::asio::awaitable<void> handle(session_pointer client, request received) = 0;
+};
+
+/// Accepts HTTP/1.1 connections and passes their requests to a handler.
+class server {
+public:
+    server(boost::asio::io_context& context, server_limits limits, request_handler& handler);
+
+    /// Binds the address (IP:PORT) and starts to accept.
+    base::result<void> listen(std::string const& address);
+    /// Closes the listening socket. Open sessions end after their current request.
+    void stop_accepting();
+
+    std::uint32_t open_sessions() const { return open_sessions_; }
+
+private:
+    boost::asio::awaitable<void> accept_sessions();
+    boost::asio::awaitable<void> serve(session_pointer client);
+
+    boost::asio::io_context& context_;
+    server_limits limits_;
+    request_handler& handler_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::atomic<std::uint32_t> open_sessions_{0};
+    std::atomic<bool> stopping_{false};
+};
+
+} // namespace cyclamenledge::http
--- /dev/null
+++ b/Libraries/http/session.cpp
@@ -0,0 +1,144 @@
+#include "http/session.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <utility>
+
+namespace cyclamenledge::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+base::error read_error(beast::error_code const& code) {
+    using base::error_kind;
+    if (code == beast_http::error::end_of_stream || code == asio::error::eof || code == asio::error::connection_reset)
+        return base::make_error(error_kind::link_lost, "the client closed the connection");
+    if (code == beast_http::error::header_limit)
+        return base::make_error(error_kind::payload_too_large, "the header is over the size limit");
+    if (code == beast_http::error::body_limit)
+        return base::make_error(error_kind::payload_too_large, "the body is over the size limit");
+    if (code == beast::error::timeout)
+        return base::make_error(error_kind::header_timeout, "the request did not arrive in time");
+    if (code == beast_http::error::partial_message)
+        return base::make_error(error_kind::bad_request, "the request is truncated");
+    return base::make_error(error_kind::bad_request, "malformed HTTP request: " + code.message());
+}
+
+base::error write_error(beast::error_code const& code) {
+    return base::make_error(base::error_kind::link_lost, code.message());
+}
+
+} // namespace
+
+session::session(asio::ip::tcp::socket socket, server_limits const& limits)
+    : stream_(std::move(socket))
+    , limits_(limits) {
+    beast::error_code ignored;
+    stream_.socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
+}
+
+awaitable_result<request> session::read_request() {
+    beast_http::request_parser<beast_http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
+    parser.body_limit(limits_.body_bytes);
+
+    if (requests_ > 0 && buffer_.size() == 0) {
+        // Waits for the next request of a kept connection; closing an idle one is no error of the client.
+        stream_.expires_after(limits_.idle_timeout);
+        auto [code, count] = co_await stream_.async_read_some(buffer_.prepare(1), use_tuple);
+        if (code)
+            co_return base::make_error(base::error_kind::link_lost, "the connection was idle");
+        buffer_.commit(count);
+    }
+    stream_.expires_after(limits_.header_timeout);
+    auto [header_code, header_count] = co_await beast_http::async_read_header(stream_, buffer_, parser, use_tuple);
+    if (header_code)
+        co_return read_error(header_code);
+    stream_.expires_after(limits_.body_timeout);
+    auto [body_code, body_count] = co_await beast_http::async_read(stream_, buffer_, parser, use_tuple);
+    if (body_code)
+        co_return read_error(body_code);
+    stream_.expires_never();
+    ++requests_;
+    keep_alive_ = parser.get().keep_alive();
+    co_return parser.release();
+}
+
+awaitable_result<void> session::send(response answer) {
+    answer.keep_alive(keep_alive_);
+    answer.prepare_payload();
+    stream_.expires_after(limits_.write_timeout);
+    auto [code, count] = co_await beast_http::async_write(stream_, answer, use_tuple);
+    stream_.expires_never();
+    if (code)
+        co_return write_error(code);
+    co_return base::success();
+}
+
+awaitable_result<void> session::start_stream(std::string_view content_type) {
+    beast_http::response<beast_http::empty_body> head{beast_http::status::ok, http_version_1_1};
+    head.set(beast_http::field::content_type, beast::string_view{content_type.data(), content_type.size()});
+    head.set(beast_http::field::cache_control, "no-cache");
+    head.keep_alive(keep_alive_);
+    head.chunked(true);
+    beast_http::response_serializer<beast_http::empty_body> serializer{head};
+    stream_.expires_after(limits_.write_timeout);
+    auto [code, count] = co_await beast_http::async_write_header(stream_, serializer, use_tuple);
+    stream_.expires_never();
+    if (code)
+        co_return write_error(code);
+    co_return base::success();
+}
+
+awaitable_result<void> session::send_chunk(std::string text) {
+    stream_.expires_after(limits_.write_timeout);
+    auto [code, count] = co_await asio::async_write(stream_, beast_http::make_chunk(asio::buffer(text)), use_tuple);
+    stream_.expires_never();
+    if (code)
+        co_return write_error(code);
+    co_return base::success();
+}
+
+awaitable_result<void> session::finish_stream() {
+    stream_.expires_after(limits_.write_timeout);
+    auto [code, count] = co_await asio::async_write(stream_, beast_http::make_chunk_last(), use_tuple);
+    stream_.expires_never();
+    if (code)
+        co_return write_error(code);
+    co_return base::success();
+}
+
+void session::watch_for_close(std::function<void()> on_close) {
+    stream_.socket().async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [self = session_pointer{this}, notify = std::move(on_close)](beast::error_code const& code) {
+            if (code)
+                return;
+            // A readable socket without data has been closed; with data it holds a pipelined request.
+            beast::error_code available_code;
+            if (self->stream_.socket().available(available_code) == 0)
+                notify();
+        });
+}
+
+void session::close() {
+    beast::error_code ignored;
+    stream_.socket().cancel(ignored);
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    stream_.close();
+}
+
+} // namespace cyclamenledge::http
--- /dev/null
+++ b/Libraries/http/session.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "http/message.h"
+#include "http/server_limits.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <functional>
+#include <string>
+
+namespace cyclamenledge::http {
+
+/// One client connection of a server. All calls are made on the executor of its stream.
+class session : public boost::intrusive_ref_counter<session> {
+public:
+    session(boost::asio::ip::tcp::socket socket, server_limits const& limits);
+
+    /// Reads the next request within the limits. Fails with link_lost when the client has closed.
+    awaitable_result<request> read_request();
+    awaitable_result<void> send(response answer);
+
+    /// Sends the head of a chunked answer with the given content type.
+    awaitable_result<void> start_stream(std::string_view content_type);
+    awaitable_result<void> send_chunk(std::string text);
+    awaitable_result<void> finish_stream();
+
+    /// Calls the function when the client closes while its request is being served.
+    void watch_for_close(std::function<void()> on_close);
+
+    bool keep_alive() const { return keep_alive_; }
+    void end_after_answer() { keep_alive_ = false; }
+    void close();
+    boost::asio::any_io_executor executor() { return stream_.get_executor(); }
+
+private:
+    boost::beast::tcp_stream stream_;
+    boost::beast::flat_buffer buffer_;
+    server_limits const& limits_;
+    bool keep_alive_{true};
+    std::uint64_t requests_{0};
+};
+
+using session_pointer = boost::intrusive_ptr<session>;
+
+} // namespace cyclamenledge::http
--- /dev/null
+++ b/Libraries/link/connection_handler.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/error.h"
+#include "wire/frame.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+namespace cyclamenledge::link {
+
+class connection;
+
+/// What a process does with the frames of a connection. Calls for one connection don't overlap.
+class connection_handler : public boost::intrusive_ref_counter<connection_handler> {
+public:
+    connection_handler() = default;
+    connection_handler(connection_handler const&) = delete;
+    connection_handler& operator=(connection_handler const&) = delete;
+    virtual ~connection_handler() = default;
+
+    virtual void on_frame(connection& source, wire::frame const& received) = 0;
+    /// The last call for a connection.
+    virtual void on_closed(connection& source, base::error const& reason) = 0;
+};
+
+using handler_pointer = boost::intrusive_ptr<connection_handler>;
+
+} // namespace cyclamenledge::link
--- /dev/null
+++ b/Libraries/log/event_kind.cpp
@@ -0,0 +1,59 @@
+#include "log/event_kind.h"
+
+#include <array>
+
+namespace cyclamenledge::log {
+
+namespace {
+
+using enum event_kind;
+using enum severity;
+
+constexpr std::array<event_definition, event_kind_count> definitions{{
+    {process_started, 101, info, "process_started"},
+    {process_draining, 102, info, "process_draining"},
+    {process_drained, 103, info, "process_drained"},
+    {process_failed, 104, severity::error, "process_failed"},
+    {configuration_applied, 201, info, "configuration_applied"},
+    {configuration_rejected, 202, severity::error, "configuration_rejected"},
+    {configuration_conflict, 203, severity::error, "configuration_conflict"},
+    {configuration_source_lost, 204, warning, "configuration_source_lost"},
+    {configuration_source_found, 205, info, "configuration_source_found"},
+    {link_up, 301, info, "link_up"},
+    {link_down, 302, warning, "link_down"},
+    {link_suspect, 303, warning, "link_suspect"},
+    {link_refused, 304, warning, "link_refused"},
+    {frame_invalid, 305, warning, "frame_invalid"},
+    {partition_suspected, 306, warning, "partition_suspected"},
+    {generation_resumed, 401, info, "generation_resumed"},
+    {generation_rerun, 402, info, "generation_rerun"},
+    {event_kind::generation_lost, 403, warning, "generation_lost"},
+    {answer_dropped, 404, debug, "answer_dropped"},
+    {key_recovery_started, 501, info, "key_recovery_started"},
+    {key_unknown, 502, warning, "key_unknown"},
+    {key_refused, 503, info, "key_refused"},
+    {target_unreachable, 601, warning, "target_unreachable"},
+    {target_reachable, 602, info, "target_reachable"},
+    {target_restarted, 603, warning, "target_restarted"},
+    {target_ejected, 604, warning, "target_ejected"},
+    {target_out_of_service, 605, info, "target_out_of_service"},
+    {target_in_service, 606, info, "target_in_service"},
+    {model_order_sent, 607, info, "model_order_sent"},
+    {model_order_failed, 608, warning, "model_order_failed"},
+    {crash_recorded, 701, warning, "crash_recorded"},
+    {poison_refused, 702, warning, "poison_refused"},
+    {caller_input_refused, 801, info, "caller_input_refused"},
+    {organisation_held_back, 802, info, "organisation_held_back"},
+}};
+
+} // namespace
+
+event_definition const& definition_of(event_kind kind) {
+    return definitions.at(static_cast<std::size_t>(kind));
+}
+
+std::span<event_definition const> all_events() {
+    return definitions;
+}
+
+} // namespace cyclamenledge::log
--- /dev/null
+++ b/Libraries/log/event_kind.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace cyclamenledge::log {
+
+enum class severity : std::uint8_t { debug, info, warning, error };
+
+/// Everything that the daemons log. docs/events.md lists cause and action for each.
+enum class event_kind : std::uint8_t {
+    process_started,
+    process_draining,
+    process_drained,
+    process_failed,
+    configuration_applied,
+    configuration_rejected,
+    configuration_conflict,
+    configuration_source_lost,
+    configuration_source_found,
+    link_up,
+    link_down,
+    link_suspect,
+    link_refused,
+    frame_invalid,
+    partition_suspected,
+    generation_resumed,
+    generation_rerun,
+    generation_lost,
+    answer_dropped,
+    key_recovery_started,
+    key_unknown,
+    key_refused,
+    target_unreachable,
+    target_reachable,
+    target_restarted,
+    target_ejected,
+    target_out_of_service,
+    target_in_service,
+    model_order_sent,
+    model_order_failed,
+    crash_recorded,
+    poison_refused,
+    caller_input_refused,
+    organisation_held_back,
+};
+inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::organisation_held_back) + 1;
+
+/// Number, level and name of one kind of event.
+struct event_definition {
+    event_kind kind;
+    unsigned number;
+    severity level;
+    std::string_view name;
+};
+
+event_definition const& definition_of(event_kind kind);
+std::span<event_definition const> all_events();
+
+} // namespace cyclamenledge::log
