--- /dev/null
+++ b/Libraries/admission/length_predictor.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "admission/length_histogram.h"
+
+#include <boost/intrusive/list.hpp>
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+namespace cyclamenledge::admission {
+
+struct length_predictor_parameters {
+    /// Organisations x models at target size, plus the fall-back levels.
+    std::size_t maximum_histograms{72000};
+    /// Length assumed at every quantile before any was seen.
+    std::uint32_t default_length{256};
+    /// A level is used from this many observations on.
+    double minimum_observations{8};
+    /// Ageing: the counts are halved at this many observations, so that a change of lengths dominates soon after.
+    std::uint32_t organisation_halving{64};
+    std::uint32_t shared_halving{256};
+    bool ageing{true};
+};
+
+/// Predicts output lengths from those observed per (organisation, class, model), falling back to (class, model), the
+/// model and the default. Names are passed as hashes.
+class length_predictor {
+public:
+    explicit length_predictor(length_predictor_parameters const& parameters);
+
+    void observe(std::uint64_t organisation, std::uint64_t service_class, std::uint64_t model, std::uint32_t length);
+    /// The q-quantile of the length, at least 1.
+    std::uint32_t quantile(std::uint64_t organisation, std::uint64_t service_class, std::uint64_t model, double q);
+    /// The q-quantile of the tokens still to come after so_far tokens, at least 1.
+    std::uint32_t remaining(std::uint64_t organisation, std::uint64_t service_class, std::uint64_t model,
+                            std::uint32_t so_far, double q);
+    std::size_t histograms() const { return index_.size(); }
+
+private:
+    struct node : boost::intrusive::list_base_hook<> {
+        std::uint64_t key{0};
+        length_histogram lengths;
+    };
+
+    node& touch(std::uint64_t key);
+    node* find(std::uint64_t key);
+
+    length_predictor_parameters parameters_;
+    std::deque<node> nodes_;
+    boost::unordered_flat_map<std::uint64_t, node*> index_;
+    /// Least recently used last.
+    boost::intrusive::list<node> recent_;
+};
+
+} // namespace cyclamenledge::admission
