--- /dev/null
+++ b/Libraries/stream/token_window.cpp
@@ -0,0 +1,26 @@
+#include "stream/token_window.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenledge::stream {
+
+std::uint32_t token_window::take(std::uint32_t wanted) {
+    auto const taken = std::min(wanted, credit_);
+    credit_ -= taken;
+    return taken;
+}
+
+bool token_window::grant(std::uint32_t credit) {
+    if (credit > window_tokens - credit_)
+        return false;
+    credit_ += credit;
+    return true;
+}
+
+std::uint32_t credit_return::on_delivered(std::uint32_t tokens) {
+    owed_ += tokens;
+    return owed_ < credit_batch_tokens ? 0 : std::exchange(owed_, 0);
+}
+
+} // namespace cyclamenledge::stream
