--- /dev/null
+++ b/Libraries/membership/drain_controller.cpp
@@ -0,0 +1,59 @@
+#include "membership/drain_controller.h"
+
+#include "base/name_table.h"
+
+namespace cyclamenledge::membership {
+
+namespace {
+
+constexpr base::name_table<drain_state, 4> state_names{base::make_names({"running", "unready", "refusing", "drained"})};
+
+} // namespace
+
+std::string_view name_of(drain_state state) {
+    return state_names.name(state);
+}
+
+void drain_controller::stop(base::time_point now) {
+    if (!stopped_)
+        stopped_ = now;
+}
+
+bool drain_controller::begin_request(base::time_point now) {
+    if (!accepts_connections(now))
+        return false;
+    ++open_requests_;
+    return true;
+}
+
+void drain_controller::end_request() {
+    if (open_requests_ > 0)
+        --open_requests_;
+}
+
+drain_state drain_controller::state(base::time_point now) const {
+    if (!stopped_)
+        return drain_state::running;
+    if (settings_.drain_limit && now - *stopped_ >= *settings_.drain_limit)
+        return drain_state::drained;
+    if (now - *stopped_ < settings_.drain_accept)
+        return drain_state::unready;
+    return open_requests_ > 0 ? drain_state::refusing : drain_state::drained;
+}
+
+std::optional<base::time_point> drain_controller::next_change(base::time_point now) const {
+    switch (state(now)) {
+    case drain_state::unready:
+        return *stopped_ + settings_.drain_accept;
+    case drain_state::refusing:
+        if (settings_.drain_limit)
+            return *stopped_ + *settings_.drain_limit;
+        return std::nullopt;
+    case drain_state::running:
+    case drain_state::drained:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace cyclamenledge::membership
