Add heartbeats on links and the runtime that both roles share

Cause: open links can go silent, and both roles need settings, metrics, a planned stop and the operators' endpoints.

--- a/Libraries/http/server.cpp
+++ b/Libraries/http/server.cpp
@@ -1,7 +1,7 @@
 #include "http/server.h"
 
-#include "http/endpoint.h"
 #include "log/logger.h"
+#include "network/endpoint.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -35,17 +35,7 @@
     , acceptor_(asio::make_strand(context)) {}
 
 base::result<void> server::listen(std::string const& address) {
-    BOOST_OUTCOME_TRY(auto const endpoint, parse_endpoint(address));
-    boost::system::error_code code;
-    acceptor_.open(endpoint.protocol(), code);
-    if (!code)
-        acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address{true}, code);
-    if (!code)
-        acceptor_.bind(endpoint, code);
-    if (!code)
-        acceptor_.listen(asio::socket_base::max_listen_connections, code);
-    if (code)
-        return base::make_error(base::error_kind::io_failed, "cannot listen on " + address + ": " + code.message());
+    BOOST_OUTCOME_TRYV(network::open_acceptor(acceptor_, address));
     asio::co_spawn(acceptor_.get_executor(), accept_sessions(), asio::detached);
     return base::success();
 }
--- a/Libraries/link/connection.cpp
+++ b/Libraries/link/connection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -21,16 +22,67 @@
 // Flow control bounds tokens per stream; a peer that still lets this much pile up doesn't read any more.
 constexpr std::size_t maximum_outbox_bytes = 64UL * 1024 * 1024;
 
+std::atomic<std::uint64_t> next_connection_number{1};
+
+std::uint64_t stamp_of(base::time_point now) {
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<base::milliseconds>(now.time_since_epoch()).count());
+}
+
+base::time_point time_of(std::uint64_t stamp) {
+    return base::time_point{base::milliseconds{static_cast<std::int64_t>(stamp)}};
+}
+
 } // namespace
 
 connection::connection(tcp::socket socket, peer_identity peer, handler_pointer handler, metrics::registry& metrics)
     : socket_(std::move(socket))
     , peer_(std::move(peer))
     , handler_(std::move(handler))
-    , metrics_(metrics) {}
+    , metrics_(metrics)
+    , number_(next_connection_number.fetch_add(1))
+    , monitor_(base::clock::now()) {
+    boost::system::error_code ignored;
+    socket_.set_option(tcp::no_delay{true}, ignored);
+}
+
+base::duration connection::stamp_age(std::uint64_t stamp, base::time_point now) {
+    return now - time_of(stamp);
+}
 
 void connection::start() {
     asio::co_spawn(socket_.get_executor(), receive_frames(self_pointer{this}), asio::detached);
+    asio::co_spawn(socket_.get_executor(), beat(self_pointer{this}), asio::detached);
+}
+
+asio::awaitable<void> connection::beat(self_pointer) {
+    asio::steady_timer timer{socket_.get_executor()};
+    while (!closed_) {
+        auto const now = base::clock::now();
+        auto const step = monitor_.tick(now);
+        if (step.send_heartbeat)
+            send_heartbeat(now);
+        if (step.fault != membership::link_fault::none && handler_)
+            handler_->on_suspect(*this, step.fault);
+        timer.expires_after(membership::tick_interval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+void connection::send_heartbeat(base::time_point now) {
+    auto heartbeat = handler_->heartbeat_content();
+    heartbeat.sequence = ++heartbeats_sent_;
+    heartbeat.stamp = stamp_of(now);
+    heartbeat.echo = peer_stamp();
+    send(heartbeat);
+}
+
+void connection::receive_heartbeat(wire::schema::HeartbeatT const& heartbeat) {
+    monitor_.on_echo(heartbeat.echo == 0 ? std::nullopt : std::optional{time_of(heartbeat.echo)}, base::clock::now());
+    bool const first = peer_stamp_.exchange(heartbeat.stamp) == 0;
+    if (first)
+        handler_->on_ready(*this);
+    if (handler_)
+        handler_->on_heartbeat(*this, heartbeat);
 }
 
 void connection::send_frame(wire::message_kind kind, std::string bytes) {
@@ -87,7 +139,13 @@
             co_return;
         }
         count(received.value().kind(), received.value().size(), true);
-        handler_->on_frame(*this, received.value());
+        monitor_.on_frame(base::clock::now());
+        if (received.value().kind() == wire::message_kind::heartbeat)
+            receive_heartbeat(received.value().unpack<wire::schema::HeartbeatT>());
+        else
+            handler_->on_frame(*this, received.value());
+        if (closed_)
+            co_return;
     }
 }
 
--- a/Libraries/link/connection.h
+++ b/Libraries/link/connection.h
@@ -34,6 +34,12 @@
     void close(base::error reason);
 
     peer_identity const& peer() const { return peer_; }
+    /// Distinguishes the connections of this process.
+    std::uint64_t number() const { return number_; }
+    /// The newest clock stamp of the peer, to be echoed where freshness matters. Zero before the first heartbeat.
+    std::uint64_t peer_stamp() const { return peer_stamp_.load(std::memory_order_relaxed); }
+    /// Age of one of this process's own stamps that a peer echoes.
+    static base::duration stamp_age(std::uint64_t stamp, base::time_point now);
     bool open() const { return !closed_.load(std::memory_order_relaxed); }
 
 private:
@@ -42,6 +48,9 @@
     void send_frame(wire::message_kind kind, std::string bytes);
     boost::asio::awaitable<void> receive_frames(self_pointer self);
     boost::asio::awaitable<void> write_outbox(self_pointer self);
+    boost::asio::awaitable<void> beat(self_pointer self);
+    void send_heartbeat(base::time_point now);
+    void receive_heartbeat(wire::schema::HeartbeatT const& heartbeat);
     void count(wire::message_kind kind, std::size_t bytes, bool received);
     void shut_down(base::error reason);
 
@@ -49,6 +58,10 @@
     peer_identity peer_;
     handler_pointer handler_;
     metrics::registry& metrics_;
+    std::uint64_t number_;
+    membership::link_monitor monitor_;
+    std::uint64_t heartbeats_sent_{0};
+    std::atomic<std::uint64_t> peer_stamp_{0};
 
     // Leaf lock: no other lock is taken while it is held.
     std::mutex outbox_mutex_;
--- a/Libraries/http/endpoint.cpp
+++ b/Libraries/network/endpoint.cpp
@@ -1,8 +1,8 @@
-#include "http/endpoint.h"
+#include "network/endpoint.h"
 
 #include <charconv>
 
-namespace cyclamenledge::http {
+namespace cyclamenledge::network {
 
 namespace asio = boost::asio;
 
@@ -27,4 +27,19 @@
     return asio::ip::tcp::endpoint{ip, port};
 }
 
-} // namespace cyclamenledge::http
+base::result<void> open_acceptor(asio::ip::tcp::acceptor& acceptor, std::string const& address) {
+    BOOST_OUTCOME_TRY(auto const endpoint, parse_endpoint(address));
+    boost::system::error_code code;
+    acceptor.open(endpoint.protocol(), code);
+    if (!code)
+        acceptor.set_option(asio::ip::tcp::acceptor::reuse_address{true}, code);
+    if (!code)
+        acceptor.bind(endpoint, code);
+    if (!code)
+        acceptor.listen(asio::socket_base::max_listen_connections, code);
+    if (code)
+        return base::make_error(base::error_kind::io_failed, "cannot listen on " + address + ": " + code.message());
+    return base::success();
+}
+
+} // namespace cyclamenledge::network
--- a/Libraries/http/endpoint.h
+++ b/Libraries/network/endpoint.h
@@ -6,9 +6,12 @@
 
 #include <string>
 
-namespace cyclamenledge::http {
+namespace cyclamenledge::network {
 
 /// Parses IP:PORT, with an IPv6 address in square brackets. Names are not resolved.
 base::result<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string const& address);
 
-} // namespace cyclamenledge::http
+/// Binds an acceptor to IP:PORT and listens.
+base::result<void> open_acceptor(boost::asio::ip::tcp::acceptor& acceptor, std::string const& address);
+
+} // namespace cyclamenledge::network
--- /dev/null
+++ b/Libraries/process/runtime.cpp
@@ -0,0 +1,109 @@
+#include "process/runtime.h"
+
+#include "base/random.h"
+#include "log/logger.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace cyclamenledge::process {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// How often a planned stop looks whether the last request has ended.
+constexpr base::milliseconds drain_poll{20};
+// Time for the last bytes and frames to leave after the last request has ended.
+constexpr base::milliseconds flush_time{100};
+
+membership::drain_settings drain_settings_of(settings::process_settings const& settings) {
+    membership::drain_settings result;
+    result.drain_accept = settings.drain_accept;
+    if (settings.drain_limit)
+        result.drain_limit = *settings.drain_limit;
+    return result;
+}
+
+} // namespace
+
+base::result<std::unique_ptr<runtime>> runtime::create(settings::process_settings settings) {
+    BOOST_OUTCOME_TRY(auto authenticator, wire::authenticator::create(settings.shared_keys));
+    return std::unique_ptr<runtime>{new runtime{std::move(settings), std::move(authenticator)}};
+}
+
+runtime::runtime(settings::process_settings settings, wire::authenticator authenticator)
+    : settings_(std::move(settings))
+    , authenticator_(std::move(authenticator))
+    , identity_{settings_.name, base::random_seed(), static_cast<std::uint8_t>(settings_.role),
+                settings_.failure_domain}
+    , started_wall_(std::chrono::floor<base::milliseconds>(std::chrono::system_clock::now()))
+    , context_(static_cast<int>(settings_.threads))
+    , signals_(context_, SIGTERM, SIGINT)
+    , drain_(drain_settings_of(settings_)) {}
+
+bool runtime::begin_request() {
+    std::scoped_lock const lock{drain_mutex_};
+    return drain_.begin_request(base::clock::now());
+}
+
+void runtime::end_request() {
+    std::scoped_lock const lock{drain_mutex_};
+    drain_.end_request();
+}
+
+std::uint64_t runtime::open_requests() const {
+    std::scoped_lock const lock{drain_mutex_};
+    return drain_.open_requests();
+}
+
+membership::drain_state runtime::drain_state() const {
+    std::scoped_lock const lock{drain_mutex_};
+    return drain_.state(base::clock::now());
+}
+
+void runtime::run(std::function<void()> on_refusing) {
+    auto const work = asio::make_work_guard(context_);
+    asio::co_spawn(context_, lead_planned_stop(std::move(on_refusing)), asio::detached);
+    std::vector<std::jthread> workers;
+    for (std::uint32_t index = 1; index < settings_.threads; ++index)
+        workers.emplace_back([this] { context_.run(); });
+    context_.run();
+}
+
+asio::awaitable<void> runtime::lead_planned_stop(std::function<void()> on_refusing) {
+    co_await signals_.async_wait(asio::use_awaitable);
+    log::write(log::event_kind::process_draining, {{"open_requests", open_requests()}});
+    {
+        std::scoped_lock const lock{drain_mutex_};
+        drain_.stop(base::clock::now());
+    }
+    asio::steady_timer timer{context_};
+    bool refusing = false;
+    while (true) {
+        auto const state = drain_state();
+        if (state >= membership::drain_state::refusing && !refusing) {
+            refusing = true;
+            on_refusing();
+        }
+        if (state == membership::drain_state::drained)
+            break;
+        timer.expires_after(drain_poll);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    timer.expires_after(flush_time);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    log::write(log::event_kind::process_drained, {{"open_requests", open_requests()}});
+    context_.stop();
+}
+
+} // namespace cyclamenledge::process
--- /dev/null
+++ b/Libraries/process/runtime.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "base/result.h"
+#include "base/time.h"
+#include "link/peer_identity.h"
+#include "membership/drain_controller.h"
+#include "metrics/registry.h"
+#include "settings/settings.h"
+#include "wire/authenticator.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace cyclamenledge::process {
+
+/// What every daemon has: an event loop with its workers, settings, identity, metrics and the planned stop.
+class runtime {
+public:
+    static base::result<std::unique_ptr<runtime>> create(settings::process_settings settings);
+
+    boost::asio::io_context& context() { return context_; }
+    settings::process_settings const& settings() const { return settings_; }
+    link::peer_identity const& identity() const { return identity_; }
+    wire::authenticator const& authenticator() const { return authenticator_; }
+    metrics::registry& metrics() { return metrics_; }
+    base::time_point started_at() const { return started_at_; }
+    base::wall_time started_wall() const { return started_wall_; }
+
+    /// Counts a request that a planned stop waits for. False when it has to be refused.
+    bool begin_request();
+    void end_request();
+    /// Requests that are open now.
+    std::uint64_t open_requests() const;
+    membership::drain_state drain_state() const;
+
+    /// Runs the event loop until a planned stop has finished. The function is called when connections are to be
+    /// refused.
+    void run(std::function<void()> on_refusing);
+
+private:
+    runtime(settings::process_settings settings, wire::authenticator authenticator);
+
+    boost::asio::awaitable<void> lead_planned_stop(std::function<void()> on_refusing);
+
+    settings::process_settings settings_;
+    wire::authenticator authenticator_;
+    link::peer_identity identity_;
+    metrics::registry metrics_;
+    base::time_point started_at_{base::clock::now()};
+    base::wall_time started_wall_;
+    boost::asio::io_context context_;
+    boost::asio::signal_set signals_;
+    // Leaf lock: no other lock is taken while it is held.
+    mutable std::mutex drain_mutex_;
+    membership::drain_controller drain_;
+};
+
+/// Ends the count of a request when it goes out of scope.
+class request_guard {
+public:
+    explicit request_guard(runtime& owner)
+        : owner_(&owner) {}
+    request_guard(request_guard&& other) noexcept
+        : owner_(std::exchange(other.owner_, nullptr)) {}
+    request_guard(request_guard const&) = delete;
+    request_guard& operator=(request_guard const&) = delete;
+    request_guard& operator=(request_guard&&) = delete;
+    ~request_guard() {
+        if (owner_ != nullptr)
+            owner_->end_request();
+    }
+
+private:
+    runtime* owner_;
+};
+
+} // namespace cyclamenledge::process
