--- /dev/null
+++ b/Libraries/routing/target_state.cpp
@@ -0,0 +1,80 @@
+#include "routing/target_state.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace cyclamenledge::routing {
+
+double target_state::hint_weight(base::time_point now, routing_policy const& policy) const {
+    if (!hint_at)
+        return 0;
+    auto const age = std::max(base::to_seconds(now - *hint_at), 0.0);
+    return std::exp2(-age / base::to_seconds(policy.hint_half_life));
+}
+
+double target_state::others_at_hint() const {
+    auto const total = static_cast<double>(hint.running) + static_cast<double>(hint.queued);
+    return std::max(total - static_cast<double>(own_at_hint), 0.0);
+}
+
+std::uint32_t target_state::allowance(base::time_point now, routing_policy const& policy) const {
+    constexpr auto unlimited = std::numeric_limits<std::uint32_t>::max();
+    if (ramp == ramp_kind::none)
+        return unlimited;
+    auto const since = now - ramp_start - ramp_delay;
+    if (since < base::duration::zero())
+        return 0;
+    auto const doublings = since / policy.ramp_interval;
+    return doublings >= policy.ramp_doublings ? unlimited : 1U << static_cast<unsigned>(doublings);
+}
+
+void target_state::start_ramp(ramp_kind kind, base::time_point now) {
+    ramp = kind;
+    ramp_start = now;
+}
+
+void target_state::set_hint(load_hint const& value, base::time_point now) {
+    if (hint_at && value.incarnation != hint.incarnation)
+        start_ramp(ramp_kind::until_warm, now);
+    hint = value;
+    hint_at = now;
+    own_at_hint = own_outstanding;
+    if (ramp == ramp_kind::until_warm && value.bound >= maximum_running)
+        ramp = ramp_kind::none;
+}
+
+void target_state::eject(base::time_point now, routing_policy const& policy) {
+    auto const factor = 1U << std::min(ejections, 5U);
+    ejected_at = now;
+    probe_at = now + std::min<base::duration>(policy.ejection_time * factor, policy.ejection_time_limit);
+    probing = false;
+    ++ejections;
+}
+
+void target_state::release(base::time_point now) {
+    ejected_at.reset();
+    probing = false;
+    consecutive_failures = 0;
+    start_ramp(ramp_kind::timed, now);
+}
+
+bool target_state::vanished(base::time_point now, routing_policy const& policy) const {
+    bool const lost = link_lost_at && now - *link_lost_at <= policy.partition_window;
+    bool const failing = consecutive_failures > 0 && now - last_failure <= policy.partition_window;
+    return lost || failing;
+}
+
+void target_state::carry_over(target_state const& earlier, base::time_point now) {
+    auto updated = earlier;
+    updated.name = name;
+    updated.region = region;
+    updated.maximum_running = maximum_running;
+    updated.crosses_region = crosses_region;
+    updated.in_service = in_service;
+    if (in_service && !earlier.in_service)
+        updated.start_ramp(ramp_kind::timed, now);
+    *this = updated;
+}
+
+} // namespace cyclamenledge::routing
