Run generations at the agent

Cause: the agent is the only way to its target and has the last word on admission. Conclusion: entries can submit, resume, acknowledge and cancel.

--- /dev/null
+++ b/Libraries/agent/generation_controller.cpp
@@ -0,0 +1,263 @@
+#include "agent/generation_controller.h"
+
+#include "base/hash.h"
+#include "log/logger.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+#include <utility>
+
+namespace cyclamenledge::agent {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr base::milliseconds status_interval{500};
+constexpr base::milliseconds longest_queue_poll{100};
+// How long a run waits for its entry to come back before it is cancelled, and how long an ended one can be resumed.
+constexpr base::seconds resume_grace{10};
+constexpr base::milliseconds unreachable_retry{1000};
+// Tokens are estimated from bytes, because tokenizers differ by model.
+constexpr std::size_t bytes_per_token = 4;
+
+std::uint32_t estimate_tokens(std::string const& prompt) {
+    return static_cast<std::uint32_t>((prompt.size() + bytes_per_token - 1) / bytes_per_token);
+}
+
+std::string generation_name(std::uint64_t incarnation, std::uint64_t stream) {
+    std::array<char, 40> buffer{};
+    std::snprintf(buffer.data(), buffer.size(), "%016" PRIx64 "-%" PRIu64, incarnation, stream);
+    return buffer.data();
+}
+
+admission::admission_request to_admission(std::uint64_t stream, wire::schema::SubmitGenerationT const& message) {
+    admission::admission_request request;
+    request.stream = stream;
+    request.organisation = base::hash_text(message.organisation);
+    request.service_class = base::hash_text(message.service_class);
+    request.model = base::hash_text(message.service);
+    request.prompt_tokens = estimate_tokens(message.prompt);
+    request.maximum_output_tokens = message.max_tokens;
+    if (message.remaining_ms > 0)
+        request.deadline = base::clock::now() + base::milliseconds{message.remaining_ms};
+    return request;
+}
+
+void send_refusal(link::connection& to, std::uint64_t attempt, base::error const& reason) {
+    wire::schema::RefusedT refused;
+    refused.attempt = attempt;
+    refused.error = static_cast<std::uint8_t>(reason.kind);
+    refused.message = reason.message;
+    refused.retry_after_ms = static_cast<std::uint32_t>(reason.retry_after.value_or(base::milliseconds{0}).count());
+    to.send(refused);
+}
+
+} // namespace
+
+generation_controller::generation_controller(process::runtime& daemon, blackboard& board, engine_client const& engine)
+    : daemon_(daemon)
+    , board_(board)
+    , engine_(engine)
+    , strand_(asio::make_strand(daemon.context())) {}
+
+void generation_controller::start() {
+    asio::co_spawn(strand_, watch_engine(), asio::detached);
+    asio::co_spawn(strand_, watch_queue(), asio::detached);
+}
+
+asio::awaitable<void> generation_controller::watch_engine() {
+    asio::steady_timer timer{strand_};
+    while (true) {
+        auto const status = co_await engine_.status();
+        auto const now = base::clock::now();
+        if (status) {
+            auto const& report = status.value();
+            auto const decisions = board_.admission.with([&](auto& controller) {
+                controller->on_incarnation(report.incarnation, report.uptime, now);
+                controller->on_load_report(report.load, now);
+                return controller->poll(now);
+            });
+            bool const restarted = board_.target.with([&](target_view& view) {
+                bool const changed = view.incarnation != 0 && view.incarnation != report.incarnation;
+                if (report.preemptions > view.preemptions && !changed)
+                    daemon_.metrics().add(metrics::counter_kind::preemptions, report.preemptions - view.preemptions);
+                view = {view.catalogue, true, report.incarnation, report.preemptions};
+                return changed;
+            });
+            if (restarted)
+                log::write(log::event_kind::target_restarted, {{"incarnation", report.incarnation}});
+            apply(decisions);
+        }
+        bool const reachable = static_cast<bool>(status);
+        bool const changed = board_.target.with(
+            [&](target_view& view) { return std::exchange(view.reachable, reachable) != reachable || !reachable; });
+        if (changed && !reachable)
+            log::write(log::event_kind::target_unreachable, {{"reason", status.error().message}});
+        timer.expires_after(status_interval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+asio::awaitable<void> generation_controller::watch_queue() {
+    asio::steady_timer timer{strand_};
+    while (true) {
+        auto const now = base::clock::now();
+        auto const [decisions, next] = board_.admission.with([&](auto& controller) {
+            return std::pair{controller->poll(now), controller->next_poll()};
+        });
+        apply(decisions);
+        timer.expires_at(std::min(next, now + longest_queue_poll));
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+std::optional<base::error> generation_controller::refusal_reason() const {
+    auto const view = board_.target.with([](target_view const& current) { return current; });
+    auto const* self = view.catalogue->find_target(daemon_.settings().name);
+    if (self == nullptr || !view.catalogue->in_service(*self))
+        return base::make_error(base::error_kind::out_of_service, "the target is out of service");
+    if (!view.reachable)
+        return base::make_error(base::error_kind::overloaded, "the target cannot be reached", unreachable_retry);
+    return std::nullopt;
+}
+
+void generation_controller::submit(link::connection& source, wire::schema::SubmitGenerationT const& message) {
+    if (!message.resume_generation.empty()) {
+        if (!resume(source, message)) {
+            send_refusal(source, message.attempt,
+                         base::make_error(base::error_kind::generation_lost, "the generation cannot be resumed here"));
+        }
+        return;
+    }
+    if (auto const reason = refusal_reason()) {
+        send_refusal(source, message.attempt, *reason);
+        return;
+    }
+    if (!daemon_.begin_request()) {
+        send_refusal(source, message.attempt, base::make_error(base::error_kind::leaving, "the agent is stopping"));
+        return;
+    }
+    auto const run = make_run(source, message, {});
+    auto const request = to_admission(run->stream(), message);
+    board_.runs.with([&](run_table& table) { table.insert(*run); });
+    auto const now = base::clock::now();
+    apply(board_.admission.with([&](auto& controller) { return controller->offer(request, now); }));
+}
+
+run_pointer generation_controller::make_run(link::connection& source, wire::schema::SubmitGenerationT const& message,
+                                            std::string generation) {
+    run_request request;
+    request.stream = next_stream_.fetch_add(1);
+    request.fingerprint = message.fingerprint;
+    if (generation.empty())
+        generation = generation_name(daemon_.identity().incarnation, request.stream);
+    request.engine = {std::move(generation), message.prompt, message.max_tokens, message.priority};
+    run_destination destination{link::connection_pointer{&source}, message.attempt};
+    return run_pointer{new generation_run{asio::make_strand(daemon_.context()), engine_, std::move(request),
+                                          std::move(destination), *this}};
+}
+
+bool generation_controller::resume(link::connection& source, wire::schema::SubmitGenerationT const& message) {
+    auto const known =
+        board_.runs.with([&](run_table& table) { return table.find_generation(message.resume_generation); });
+    if (known)
+        return known->reattach({link::connection_pointer{&source}, message.attempt}, message.resume_index);
+    if (!daemon_.begin_request())
+        return false;
+    // An earlier agent process may have started the generation; the engine knows whether it still holds it.
+    auto const run = make_run(source, message, message.resume_generation);
+    auto const request = to_admission(run->stream(), message);
+    board_.runs.with([&](run_table& table) { table.insert(*run); });
+    board_.admission.with(
+        [&](auto& controller) { controller->adopt(request, message.resume_index, base::clock::now()); });
+    run->adopt(message.resume_index);
+    return true;
+}
+
+void generation_controller::apply(std::vector<admission::admission_decision> const& decisions) {
+    for (auto const& decision : decisions)
+        apply(decision);
+}
+
+void generation_controller::apply(admission::admission_decision const& decision) {
+    using action = void (generation_controller::*)(generation_run&, admission::admission_decision const&);
+    static constexpr std::array<action, 3> actions{&generation_controller::admit, &generation_controller::wait,
+                                                   &generation_controller::refuse};
+    auto const run = board_.runs.with([&](run_table& table) { return table.find(decision.stream); });
+    if (run)
+        (this->*actions.at(static_cast<std::size_t>(decision.outcome)))(*run, decision);
+}
+
+void generation_controller::admit(generation_run& run, admission::admission_decision const& decision) {
+    run.start(decision.priority);
+}
+
+void generation_controller::wait(generation_run&, admission::admission_decision const&) {}
+
+void generation_controller::refuse(generation_run& run, admission::admission_decision const& decision) {
+    auto const kept = board_.runs.with([&](run_table& table) { return table.remove(run.stream()); });
+    run.refuse(base::make_error(decision.error, "the target has no room", decision.retry_after));
+    if (kept)
+        daemon_.end_request();
+}
+
+void generation_controller::cancel(std::uint64_t stream) {
+    if (auto const run = board_.runs.with([&](run_table& table) { return table.find(stream); }))
+        run->cancel();
+}
+
+void generation_controller::acknowledge(std::uint64_t stream, std::uint32_t index) {
+    if (auto const run = board_.runs.with([&](run_table& table) { return table.find(stream); }))
+        run->acknowledge(index);
+}
+
+void generation_controller::on_connection_closed(link::connection const& lost) {
+    for (auto const& run : board_.runs.with([](run_table& table) { return table.all(); }))
+        run->detach(lost, resume_grace);
+}
+
+void generation_controller::on_token(generation_run& run) {
+    daemon_.metrics().add(metrics::counter_kind::tokens);
+    board_.admission.with([&](auto& controller) { controller->on_token(run.stream(), 1, base::clock::now()); });
+}
+
+void generation_controller::on_end(generation_run& run, admission::stream_end end) {
+    auto const now = base::clock::now();
+    auto const decisions = board_.admission.with([&](auto& controller) {
+        controller->on_end(run.stream(), end, now);
+        return controller->poll(now);
+    });
+    daemon_.end_request();
+    forget_later(run.stream());
+    apply(decisions);
+}
+
+void generation_controller::forget_later(std::uint64_t stream) {
+    auto timer = std::make_shared<asio::steady_timer>(strand_, resume_grace);
+    timer->async_wait([this, stream, timer](boost::system::error_code const&) {
+        board_.runs.with([&](run_table& table) { table.remove(stream); });
+    });
+}
+
+wire::schema::LoadHintT generation_controller::hint() const {
+    auto const current = board_.admission.with([](auto const& controller) { return controller->hint(); });
+    wire::schema::LoadHintT message;
+    message.running = current.running;
+    message.queued = current.queued;
+    message.bound = current.warmup_bound;
+    message.memory_used = current.held_fraction;
+    message.warm = current.warm;
+    message.accepting = daemon_.drain_state() < membership::drain_state::refusing && !refusal_reason();
+    message.target_incarnation = current.incarnation;
+    return message;
+}
+
+} // namespace cyclamenledge::agent
