Read settings and catalogues strictly

Cause: the settings had no reader, the catalogue had no reader, and catalogue_builder accepted everything.

Change: the library yaml_reader parses one bounded document from parser events, so aliases, anchors, tags and deep nesting are refused before they use memory, and reads maps through tables of keys. settings_reader and catalogue_reader use it and report every error with file, line, column, path, what was found and what is allowed.

Conclusion: builder and readers accept or refuse alike. Code that builds incomplete catalogues through the builder now gets an error.

--- a/Libraries/catalogue/catalogue_builder.cpp
+++ b/Libraries/catalogue/catalogue_builder.cpp
@@ -1,5 +1,7 @@
 #include "catalogue/catalogue_builder.h"
 
+#include "catalogue/catalogue_validator.h"
+
 #include <utility>
 
 namespace cyclamenledge::catalogue {
@@ -40,8 +42,20 @@
 }
 
 base::result<catalogue_pointer> catalogue_builder::build() {
-    draft_->build_indexes();
-    return catalogue_pointer{std::exchange(draft_, boost::intrusive_ptr<catalogue>{new catalogue})};
+    std::vector<yaml_reader::violation> violations;
+    auto built = build(violations);
+    if (built != nullptr)
+        return built;
+    auto const& first = violations.front();
+    return base::make_error(base::error_kind::invalid_configuration,
+                            first.path + ": found " + first.found + "; allowed: " + first.allowed);
+}
+
+catalogue_pointer catalogue_builder::build(std::vector<yaml_reader::violation>& violations) {
+    auto const finished = std::exchange(draft_, boost::intrusive_ptr<catalogue>{new catalogue});
+    finished->build_indexes();
+    violations = catalogue_validator{*finished}.run();
+    return violations.empty() ? catalogue_pointer{finished} : catalogue_pointer{};
 }
 
 } // namespace cyclamenledge::catalogue
--- a/Libraries/catalogue/catalogue_builder.h
+++ b/Libraries/catalogue/catalogue_builder.h
@@ -2,6 +2,9 @@
 
 #include "base/result.h"
 #include "catalogue/catalogue.h"
+#include "yaml_reader/violation.h"
+
+#include <vector>
 
 namespace cyclamenledge::catalogue {
 
@@ -18,6 +21,8 @@
 
     /// Fails with invalid_configuration that names the first offending item.
     base::result<catalogue_pointer> build();
+    /// As above, with every violation; null when there is one. The builder is empty afterwards.
+    catalogue_pointer build(std::vector<yaml_reader::violation>& violations);
 
 private:
     boost::intrusive_ptr<catalogue> draft_{new catalogue};
--- /dev/null
+++ b/Libraries/settings/settings_reader.cpp
@@ -0,0 +1,83 @@
+#include "settings/settings_reader.h"
+
+#include "settings/settings_validator.h"
+#include "yaml_reader/document.h"
+#include "yaml_reader/field_table.h"
+#include "yaml_reader/file.h"
+
+namespace cyclamenledge::settings {
+
+namespace {
+
+using yaml_reader::field_table;
+using yaml_reader::scalar;
+using yaml_reader::text_list;
+using enum yaml_reader::presence;
+
+constexpr base::name_table<process_role, 2> role_names{base::make_names({"entry", "agent"})};
+
+field_table<caller_limits> const& limit_fields() {
+    static field_table<caller_limits> const fields{
+        scalar("header_bytes", &caller_limits::header_bytes),
+        scalar("body_bytes", &caller_limits::body_bytes),
+        scalar("header_timeout", &caller_limits::header_timeout),
+        scalar("connections", &caller_limits::connections),
+    };
+    return fields;
+}
+
+field_table<process_settings> const& settings_fields() {
+    static field_table<process_settings> const fields{
+        yaml_reader::choice("role", &process_settings::role, role_names, required),
+        scalar("name", &process_settings::name, required),
+        scalar("failure_domain", &process_settings::failure_domain, required),
+        scalar("vm", &process_settings::vm, required),
+        scalar("threads", &process_settings::threads),
+        scalar("caller_address", &process_settings::caller_address),
+        scalar("peer_address", &process_settings::peer_address, required),
+        scalar("operator_address", &process_settings::operator_address, required),
+        scalar("target_address", &process_settings::target_address),
+        scalar("configuration_address", &process_settings::configuration_address),
+        scalar("catalogue_file", &process_settings::catalogue_file),
+        scalar("vm_list_address", &process_settings::vm_list_address),
+        text_list("peers", &process_settings::peers),
+        text_list("shared_keys", &process_settings::shared_keys, required),
+        yaml_reader::object("limits", &process_settings::limits, limit_fields()),
+        scalar("drain_accept", &process_settings::drain_accept),
+        scalar("drain_limit", &process_settings::drain_limit),
+        scalar("log_level", &process_settings::log_level),
+    };
+    return fields;
+}
+
+} // namespace
+
+yaml_reader::reading<process_settings> check_settings(std::string const& text, std::string const& source) {
+    yaml_reader::diagnostics errors{source};
+    auto const root = yaml_reader::parse_document(text, errors);
+    if (!root)
+        return {std::nullopt, errors.take()};
+    process_settings settings;
+    settings_fields().read(*root, {}, settings, errors);
+    yaml_reader::add_violations(validate(settings), *root, errors);
+    if (!errors.empty())
+        return {std::nullopt, errors.take()};
+    return {std::move(settings), {}};
+}
+
+base::result<process_settings> read_settings(std::string const& text, std::string const& source) {
+    return check_settings(text, source).to_result();
+}
+
+base::result<process_settings> read_settings_file(std::string const& path) {
+    BOOST_OUTCOME_TRY(auto const text, yaml_reader::read_file(path));
+    return read_settings(text, path);
+}
+
+std::vector<std::string> settings_keys() {
+    std::vector<std::string> keys;
+    settings_fields().list_keys("", keys);
+    return keys;
+}
+
+} // namespace cyclamenledge::settings
--- /dev/null
+++ b/Tests/settings/settings_reader_test.cpp
@@ -0,0 +1,116 @@
+#include "settings/settings_reader.h"
+#include "support/malformed_document.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace cyclamenledge::tests {
+
+namespace {
+
+constexpr std::string_view valid_settings = R"(role: entry
+name: entry-1
+failure_domain: north-a
+vm: vm-1
+threads: 2
+caller_address: "127.0.0.1:8080"
+peer_address: "127.0.0.1:8081"
+operator_address: "127.0.0.1:8082"
+configuration_address: "127.0.0.1:8083"
+vm_list_address: "127.0.0.1:8084"
+peers: ["127.0.0.1:8085"]
+shared_keys: [first-shared-key-1, second-shared-key]
+limits: {header_bytes: 8192, body_bytes: 65536, header_timeout: 10 s, connections: 100}
+drain_accept: 1500 ms
+drain_limit: 1 h
+log_level: debug
+)";
+
+std::vector<malformed_document> const malformed{
+    {"unknown role", "role: entry", "role: router", "role", 1},
+    {"missing name", "name: entry-1\n", "", "name", 1},
+    {"empty name", "name: entry-1", "name: \"\"", "name", 2},
+    {"name that is a list", "name: entry-1", "name: [entry-1]", "name", 2},
+    {"missing value", "vm: vm-1", "vm:", "vm", 4},
+    {"unknown key", "threads: 2", "thread: 2", "thread", 5},
+    {"no threads", "threads: 2", "threads: 0", "threads", 5},
+    {"entry without a caller address", "caller_address: \"127.0.0.1:8080\"\n", "", "caller_address", 1},
+    {"host name", "127.0.0.1:8080", "localhost:8080", "caller_address", 6},
+    {"two listeners on one address", "127.0.0.1:8081", "127.0.0.1:8080", "peer_address", 7},
+    {"target of an entry", "threads: 2", "target_address: \"127.0.0.1:9\"", "target_address", 5},
+    {"callers of an agent", "role: entry", "role: agent", "target_address", 1},
+    {"no source of the catalogue", "configuration_address: \"127.0.0.1:8083\"\n", "", "", 1},
+    {"two sources of the catalogue", "threads: 2", "catalogue_file: a.yaml", "catalogue_file", 5},
+    {"bad configuration address", "127.0.0.1:8083", "127.0.0.1:x", "configuration_address", 9},
+    {"bad VM list address", "127.0.0.1:8084", "127.0.0.256:1", "vm_list_address", 10},
+    {"bad peer", "127.0.0.1:8085", "peer", "peers[0]", 11},
+    {"duplicate peer", "[\"127.0.0.1:8085\"]", "[\"127.0.0.1:8085\", \"127.0.0.1:8085\"]", "peers[1]", 11},
+    {"no shared key", "[first-shared-key-1, second-shared-key]", "[]", "shared_keys", 12},
+    {"short shared key", "second-shared-key", "second", "shared_keys[1]", 12},
+    {"duplicate shared key", "second-shared-key", "first-shared-key-1", "shared_keys[1]", 12},
+    {"three shared keys", "second-shared-key", "second-shared-key, third-shared-key-3", "shared_keys", 12},
+    {"body larger than a frame", "body_bytes: 65536", "body_bytes: 1048577", "limits.body_bytes", 13},
+    {"no header bytes", "header_bytes: 8192", "header_bytes: 0", "limits.header_bytes", 13},
+    {"unknown limit", "connections: 100", "connection: 100", "limits.connection", 13},
+    {"timeout without a unit", "header_timeout: 10 s", "header_timeout: 10", "limits.header_timeout", 13},
+    {"negative duration", "1500 ms", "-1500 ms", "drain_accept", 14},
+    {"duration that overflows", "1500 ms", "18446744073709551615 h", "drain_accept", 14},
+    {"drain limit of zero", "drain_limit: 1 h", "drain_limit: 0 s", "drain_limit", 15},
+    {"unknown log level", "log_level: debug", "log_level: loud", "log_level", 16},
+};
+
+} // namespace
+
+class settings_reader_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(settings_reader_test);
+    CPPUNIT_TEST(reads_every_part);
+    CPPUNIT_TEST(refuses_malformed_documents);
+    CPPUNIT_TEST(keeps_shared_keys_out_of_messages);
+    CPPUNIT_TEST(reports_a_missing_file);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a field that is read into the wrong member or lost.
+    void reads_every_part() {
+        auto const read = settings::read_settings(std::string{valid_settings}, "test.yaml");
+        CPPUNIT_ASSERT_MESSAGE(read.has_error() ? read.error().message : "", read.has_value());
+        auto const& found = read.value();
+        CPPUNIT_ASSERT(found.role == settings::process_role::entry);
+        CPPUNIT_ASSERT_EQUAL(std::string{"127.0.0.1:8082"}, found.operator_address);
+        CPPUNIT_ASSERT_EQUAL(std::string{"127.0.0.1:8084"}, found.vm_list_address.value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, found.shared_keys.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{65536}, found.limits.body_bytes);
+        CPPUNIT_ASSERT(found.limits.header_timeout == std::chrono::seconds{10});
+        CPPUNIT_ASSERT(found.drain_accept == std::chrono::milliseconds{1500});
+        CPPUNIT_ASSERT(found.drain_limit == std::chrono::hours{1});
+        CPPUNIT_ASSERT(!found.catalogue_file);
+    }
+
+    /// Guards against a daemon that starts with malformed settings, or an error that points to the wrong place.
+    void refuses_malformed_documents() {
+        check_malformed(malformed, valid_settings, [](std::string const& text, std::string const& source) {
+            return settings::check_settings(text, source);
+        });
+    }
+
+    /// Guards against secrets in logs.
+    void keeps_shared_keys_out_of_messages() {
+        auto const read = settings::read_settings(replaced(valid_settings, "second-shared-key", "secret"), "test.yaml");
+        CPPUNIT_ASSERT(read.has_error());
+        CPPUNIT_ASSERT(read.error().message.find("secret") == std::string::npos);
+    }
+
+    /// Guards against an exception or an empty document in place of an input error.
+    void reports_a_missing_file() {
+        auto const read = settings::read_settings_file("/nowhere/settings.yaml");
+        CPPUNIT_ASSERT(read.has_error() && read.error().kind == base::error_kind::io_failed);
+        CPPUNIT_ASSERT(settings::read_settings_file("/").has_error());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(settings_reader_test);
+
+} // namespace cyclamenledge::tests
