Add cyclamenctl with check and version

Cause: operators had no way to validate a document before publishing it.

Subcommands are added by one row in subcommands.cpp.

--- /dev/null
+++ b/Utilities/cyclamenctl/subcommands.cpp
@@ -0,0 +1,27 @@
+#include "check_command.h"
+#include "subcommand.h"
+#include "version_command.h"
+
+#include <array>
+
+namespace cyclamenledge::control {
+
+namespace {
+
+template <class Command>
+std::unique_ptr<subcommand> make() {
+    return std::make_unique<Command>();
+}
+
+constexpr std::array table{&make<check_command>, &make<version_command>};
+
+} // namespace
+
+std::vector<std::unique_ptr<subcommand>> make_subcommands() {
+    std::vector<std::unique_ptr<subcommand>> commands;
+    for (auto const factory : table)
+        commands.push_back(factory());
+    return commands;
+}
+
+} // namespace cyclamenledge::control
