Add the entry, the agent role, the daemon and the engine stand-in

Cause: a request has to run through the whole path before anything else. Change: links from entries to agents, attempts, generation sessions with retry, rerun and resume, completions over server-sent events, the daemon program and an engine stand-in over the engine model.

--- /dev/null
+++ b/Development/standin/standin_table.cpp
@@ -0,0 +1,12 @@
+#include "engine_standin.h"
+#include "standin.h"
+
+namespace cyclamenledge::standin {
+
+std::vector<std::unique_ptr<standin>> make_standins() {
+    std::vector<std::unique_ptr<standin>> result;
+    result.push_back(std::make_unique<engine_standin>());
+    return result;
+}
+
+} // namespace cyclamenledge::standin
--- a/Libraries/agent/generation_controller.cpp
+++ b/Libraries/agent/generation_controller.cpp
@@ -147,7 +147,7 @@
     }
     auto const run = make_run(source, message, {});
     auto const request = to_admission(run->stream(), message);
-    board_.runs.with([&](run_table& table) { table.insert(*run); });
+    board_.runs.with([&](run_table& table) { table.insert(*run, {source.number(), message.attempt}); });
     auto const now = base::clock::now();
     apply(board_.admission.with([&](auto& controller) { return controller->offer(request, now); }));
 }
@@ -169,19 +169,27 @@
     auto const known =
         board_.runs.with([&](run_table& table) { return table.find_generation(message.resume_generation); });
     if (known)
-        return known->reattach({link::connection_pointer{&source}, message.attempt}, message.resume_index);
+        return reattach(*known, source, message);
     if (!daemon_.begin_request())
         return false;
     // An earlier agent process may have started the generation; the engine knows whether it still holds it.
     auto const run = make_run(source, message, message.resume_generation);
     auto const request = to_admission(run->stream(), message);
-    board_.runs.with([&](run_table& table) { table.insert(*run); });
+    board_.runs.with([&](run_table& table) { table.insert(*run, {source.number(), message.attempt}); });
     board_.admission.with(
         [&](auto& controller) { controller->adopt(request, message.resume_index, base::clock::now()); });
     run->adopt(message.resume_index);
     return true;
 }
 
+bool generation_controller::reattach(generation_run& run, link::connection& source,
+                                     wire::schema::SubmitGenerationT const& message) {
+    if (!run.reattach({link::connection_pointer{&source}, message.attempt}, message.resume_index))
+        return false;
+    board_.runs.with([&](run_table& table) { table.set_attempt(run, {source.number(), message.attempt}); });
+    return true;
+}
+
 void generation_controller::apply(std::vector<admission::admission_decision> const& decisions) {
     for (auto const& decision : decisions)
         apply(decision);
@@ -209,13 +217,17 @@
         daemon_.end_request();
 }
 
-void generation_controller::cancel(std::uint64_t stream) {
-    if (auto const run = board_.runs.with([&](run_table& table) { return table.find(stream); }))
+run_pointer generation_controller::find_attempt(link::connection const& source, std::uint64_t attempt) {
+    return board_.runs.with([&](run_table& table) { return table.find_attempt(source.number(), attempt); });
+}
+
+void generation_controller::cancel(link::connection const& source, std::uint64_t attempt) {
+    if (auto const run = find_attempt(source, attempt))
         run->cancel();
 }
 
-void generation_controller::acknowledge(std::uint64_t stream, std::uint32_t index) {
-    if (auto const run = board_.runs.with([&](run_table& table) { return table.find(stream); }))
+void generation_controller::acknowledge(link::connection const& source, std::uint64_t attempt, std::uint32_t index) {
+    if (auto const run = find_attempt(source, attempt))
         run->acknowledge(index);
 }
 
--- a/Libraries/agent/generation_controller.h
+++ b/Libraries/agent/generation_controller.h
@@ -19,8 +19,8 @@
     void start();
 
     void submit(link::connection& source, wire::schema::SubmitGenerationT const& message);
-    void cancel(std::uint64_t stream);
-    void acknowledge(std::uint64_t stream, std::uint32_t index);
+    void cancel(link::connection const& source, std::uint64_t attempt);
+    void acknowledge(link::connection const& source, std::uint64_t attempt, std::uint32_t index);
     void on_connection_closed(link::connection const& lost);
 
     void on_token(generation_run& run) override;
@@ -41,6 +41,8 @@
     bool resume(link::connection& source, wire::schema::SubmitGenerationT const& message);
     run_pointer make_run(link::connection& source, wire::schema::SubmitGenerationT const& message,
                          std::string generation);
+    bool reattach(generation_run& run, link::connection& source, wire::schema::SubmitGenerationT const& message);
+    run_pointer find_attempt(link::connection const& source, std::uint64_t attempt);
     void forget_later(std::uint64_t stream);
 
     process::runtime& daemon_;
--- a/Libraries/agent/run_table.cpp
+++ b/Libraries/agent/run_table.cpp
@@ -6,11 +6,24 @@
     runs_.clear_and_dispose([](generation_run* run) { intrusive_ptr_release(run); });
 }
 
-void run_table::insert(generation_run& run) {
+void run_table::insert(generation_run& run, attempt_name attempt) {
     intrusive_ptr_add_ref(&run);
     runs_.push_back(run);
     by_stream_.emplace(run.stream(), &run);
     by_generation_.emplace(run.generation(), &run);
+    set_attempt(run, attempt);
+}
+
+void run_table::set_attempt(generation_run& run, attempt_name attempt) {
+    if (auto const earlier = attempts_.find(run.stream()); earlier != attempts_.end())
+        by_attempt_.erase(earlier->second);
+    attempts_.insert_or_assign(run.stream(), attempt);
+    by_attempt_.insert_or_assign(attempt, run.stream());
+}
+
+run_pointer run_table::find_attempt(std::uint64_t connection, std::uint64_t attempt) const {
+    auto const found = by_attempt_.find({connection, attempt});
+    return found == by_attempt_.end() ? nullptr : find(found->second);
 }
 
 run_pointer run_table::remove(std::uint64_t stream) {
@@ -20,6 +33,10 @@
     run_pointer removed{found->second, false};
     by_stream_.erase(found);
     by_generation_.erase(removed->generation());
+    if (auto const attempt = attempts_.find(stream); attempt != attempts_.end()) {
+        by_attempt_.erase(attempt->second);
+        attempts_.erase(attempt);
+    }
     runs_.erase(runs_.iterator_to(*removed));
     return removed;
 }
--- /dev/null
+++ b/Libraries/entry/blackboard.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/guarded.h"
+#include "catalogue/catalogue.h"
+#include "entry/attempt.h"
+#include "retry/hedge_decision.h"
+#include "retry/retry_budget.h"
+#include "routing/target_table.h"
+
+#include <optional>
+
+namespace cyclamenledge::entry {
+
+/// What an entry knows about targets and how much it may retry.
+struct routing_state {
+    std::optional<routing::target_table> targets;
+    retry::retry_budget budget;
+    retry::hedge_decision hedges;
+};
+
+/// The tables of an entry. Controllers take the locks in the order of their ranks.
+struct blackboard {
+    base::guarded<catalogue::catalogue_pointer, base::lock_rank::configuration> catalogue;
+    base::guarded<routing_state, base::lock_rank::routing> routing;
+    guarded_attempts attempts;
+};
+
+} // namespace cyclamenledge::entry
--- /dev/null
+++ b/Libraries/entry/caller_handler.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "entry/blackboard.h"
+#include "entry/caller.h"
+#include "entry/link_table.h"
+#include "http/server.h"
+#include "process/role.h"
+#include "process/runtime.h"
+
+#include <atomic>
+#include <span>
+
+namespace cyclamenledge::entry {
+
+/// Serves the callers' address: completions, plain services and what the balancer asks.
+class caller_handler : public http::request_handler {
+public:
+    caller_handler(process::runtime& daemon, blackboard& board, link_table& links, process::role& served)
+        : daemon_(daemon)
+        , board_(board)
+        , links_(links)
+        , role_(served) {}
+
+    boost::asio::awaitable<void> handle(http::session_pointer client, http::request received) override;
+
+private:
+    using action = boost::asio::awaitable<void> (caller_handler::*)(http::session_pointer, http::request const&);
+    enum class path_match { exact, prefix };
+    struct route_row {
+        std::string_view path;
+        path_match match;
+        action serve;
+    };
+    static std::span<route_row const> routes();
+
+    boost::asio::awaitable<void> serve_health(http::session_pointer client, http::request const& received);
+    boost::asio::awaitable<void> serve_readiness(http::session_pointer client, http::request const& received);
+    boost::asio::awaitable<void> serve_completion(http::session_pointer client, http::request const& received);
+    boost::asio::awaitable<void> refuse(http::session_pointer client, base::error reason);
+
+    base::result<caller> identify(http::request const& received, std::string_view service) const;
+
+    process::runtime& daemon_;
+    blackboard& board_;
+    link_table& links_;
+    process::role& role_;
+    std::atomic<std::uint64_t> next_request_{1};
+};
+
+} // namespace cyclamenledge::entry
--- /dev/null
+++ b/Libraries/entry/entry_role.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "entry/blackboard.h"
+#include "entry/caller_handler.h"
+#include "entry/link_table.h"
+#include "http/server.h"
+#include "process/operator_handler.h"
+#include "process/role.h"
+#include "process/runtime.h"
+
+#include <memory>
+
+namespace cyclamenledge::entry {
+
+/// The daemon that callers reach.
+class entry_role : public process::role {
+public:
+    static base::result<std::unique_ptr<entry_role>> create(process::runtime& daemon,
+                                                            catalogue::catalogue_pointer published);
+
+    base::result<void> start() override;
+    void stop_accepting() override;
+    bool able_to_serve() const override;
+    boost::json::object state() const override;
+    base::result<boost::json::object> explain(std::string_view organisation, std::string_view service) const override;
+
+private:
+    explicit entry_role(process::runtime& daemon);
+
+    base::result<void> apply(catalogue::catalogue_pointer const& published);
+
+    process::runtime& daemon_;
+    mutable blackboard board_;
+    link_table links_;
+    caller_handler callers_;
+    http::server caller_server_;
+    process::operator_handler operators_;
+    http::server operator_server_;
+};
+
+} // namespace cyclamenledge::entry
--- /dev/null
+++ b/Services/cyclamenledged/main.cpp
@@ -0,0 +1,67 @@
+#include "agent/agent_role.h"
+#include "catalogue/catalogue_reader.h"
+#include "entry/entry_role.h"
+#include "log/logger.h"
+#include "process/runtime.h"
+#include "settings/settings_reader.h"
+#include "yaml_reader/file.h"
+
+#include <CLI/CLI.hpp>
+
+#include <array>
+#include <iostream>
+#include <memory>
+#include <string>
+
+namespace {
+
+using namespace cyclamenledge;
+
+using role_pointer = std::unique_ptr<process::role>;
+using role_factory = base::result<role_pointer> (*)(process::runtime&, catalogue::catalogue_pointer);
+
+template <class Role>
+base::result<role_pointer> make_role(process::runtime& daemon, catalogue::catalogue_pointer published) {
+    BOOST_OUTCOME_TRY(auto created, Role::create(daemon, std::move(published)));
+    return role_pointer{std::move(created)};
+}
+
+// In the order of settings::process_role.
+constexpr std::array<role_factory, 2> role_factories{&make_role<entry::entry_role>, &make_role<agent::agent_role>};
+
+base::result<void> run(std::string const& path) {
+    BOOST_OUTCOME_TRY(auto configured, settings::read_settings_file(path));
+    BOOST_OUTCOME_TRYV(log::start_logging(configured.log_level, configured.name));
+    BOOST_OUTCOME_TRY(auto const text, yaml_reader::read_file(configured.catalogue_file.value_or("")));
+    BOOST_OUTCOME_TRY(auto const published, catalogue::read_catalogue(text, *configured.catalogue_file));
+
+    BOOST_OUTCOME_TRY(auto const daemon, process::runtime::create(std::move(configured)));
+    auto const make = role_factories.at(static_cast<std::size_t>(daemon->settings().role));
+    BOOST_OUTCOME_TRY(auto const served, make(*daemon, published));
+    BOOST_OUTCOME_TRYV(served->start());
+    log::write(log::event_kind::process_started,
+               {{"incarnation", daemon->identity().incarnation}, {"threads", daemon->settings().threads}});
+    daemon->run([&served] { served->stop_accepting(); });
+    return base::success();
+}
+
+} // namespace
+
+int main(int argument_count, char** arguments) {
+    CLI::App app{"Daemon of cyclamenledge: entry or agent, as the settings say"};
+    std::string path;
+    app.add_option("--config", path, "Settings of this process, YAML")->required();
+    app.footer("Exit status: 0 after a planned stop, 1 when the process cannot start or the settings are invalid.");
+    CLI11_PARSE(app, argument_count, arguments);
+    try {
+        if (auto const result = run(path); !result) {
+            log::write(log::event_kind::process_failed, {{"reason", result.error().message}});
+            std::cerr << "cyclamenledged: " << result.error().message << '\n';
+            return 1;
+        }
+    } catch (std::exception const& failure) {
+        std::cerr << "cyclamenledged: " << failure.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
