--- a/Tests/settings/settings_reader_test.cpp
+++ b/Tests/settings/settings_reader_test.cpp
@@ -1,9 +1,12 @@
 #include "settings/settings_reader.h"
 #include "support/malformed_document.h"
+#include "support/mutated_document.h"
+#include "support/property.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -70,6 +73,8 @@
     CPPUNIT_TEST(refuses_malformed_documents);
     CPPUNIT_TEST(keeps_shared_keys_out_of_messages);
     CPPUNIT_TEST(reports_a_missing_file);
+    CPPUNIT_TEST(examples_are_accepted);
+    CPPUNIT_TEST(mutations_give_settings_or_a_place);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,6 +114,28 @@
         CPPUNIT_ASSERT(read.has_error() && read.error().kind == base::error_kind::io_failed);
         CPPUNIT_ASSERT(settings::read_settings_file("/").has_error());
     }
+
+    /// Guards against examples that a stricter rule has made invalid.
+    void examples_are_accepted() {
+        for (std::string const file : {"vatuloa/entry", "vatuloa/agent", "fjordvinge/entry", "fjordvinge/agent"}) {
+            auto const read = settings::read_settings_file(CYCLAMENLEDGE_EXAMPLES "/" + file + ".yaml");
+            CPPUNIT_ASSERT_MESSAGE(read.has_error() ? read.error().message : "", read.has_value());
+        }
+    }
+
+    /// Guards against settings that make the daemon crash, hang or throw at start.
+    void mutations_give_settings_or_a_place() {
+        check_property("mutated settings are read or refused with a place", [] {
+            auto const text = *mutated(valid_settings);
+            auto const read = settings::check_settings(text, "test.yaml");
+            auto const lines = static_cast<std::uint32_t>(std::ranges::count(text, '\n')) + 1;
+            RC_ASSERT(read.value.has_value() == read.errors.empty());
+            RC_ASSERT(std::ranges::all_of(read.errors, [&](yaml_reader::diagnostic const& item) {
+                return item.at.line >= 1 && item.at.line <= lines && item.at.column >= 1;
+            }));
+            RC_CLASSIFY(read.value.has_value(), "accepted");
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(settings_reader_test);
