--- a/Libraries/yaml_reader/document.cpp
+++ b/Libraries/yaml_reader/document.cpp
@@ -29,6 +29,9 @@
 /// Builds nodes from parser events. Working on events refuses aliases and deep nesting before they use memory.
 class tree_builder : public YAML::EventHandler {
 public:
+    explicit tree_builder(std::size_t maximum_values)
+        : values_left_(maximum_values) {}
+
     node take() { return std::move(root_); }
 
     void OnDocumentStart(YAML::Mark const& mark) override { // NOLINT(readability-identifier-naming)
@@ -105,13 +108,16 @@
             return;
         }
         auto& top = frames_.back();
+        bool const is_key = top.value.kind == node_kind::map && !top.expects_value;
+        if (!is_key && values_left_-- == 0)
+            throw refusal{item.at, "too many values", "on average at least 8 bytes for each value"};
         // The parser places a missing value at the next token, which may be lines below. The nearest known place
         // before it is used instead.
         if (top.value.kind == node_kind::sequence) {
             if (item.kind == node_kind::null)
                 item.at = top.value.items.empty() ? top.value.at : top.value.items.back().at;
             top.value.items.push_back(std::move(item));
-        } else if (top.expects_value) {
+        } else if (!is_key) {
             auto& holder = top.value.members.back();
             if (item.kind == node_kind::null)
                 item.at = holder.key_at;
@@ -134,6 +140,7 @@
     node root_;
     std::vector<frame> frames_;
     int documents_{0};
+    std::size_t values_left_;
 };
 
 /// Whether a byte is outside what a document may contain. Tabs and line ends are allowed.
@@ -142,25 +149,37 @@
     return (code < 0x20 && letter != '\n' && letter != '\r' && letter != '\t') || code == 0x7f;
 }
 
+bool is_flow_indicator(char letter) {
+    return std::string_view{"[]{},"}.find(letter) != std::string_view::npos;
+}
+
+place place_of(std::string_view text, std::size_t position) {
+    auto const before = text.substr(0, position);
+    auto const line = static_cast<std::uint32_t>(std::ranges::count(before, '\n')) + 1;
+    return {line, static_cast<std::uint32_t>(position - (before.rfind('\n') + 1)) + 1};
+}
+
+/// Refuses text that is too large or too dense before the parser uses memory for it.
 void check_bytes(std::string const& text, std::size_t maximum_bytes) {
-    if (text.size() > maximum_bytes)
+    if (text.size() > maximum_bytes) {
         throw refusal{
             {}, std::to_string(text.size()) + " bytes", "at most " + std::to_string(maximum_bytes) + " bytes"};
+    }
     auto const bad = std::ranges::find_if(text, is_control);
-    if (bad == text.end())
-        return;
-    auto const line = static_cast<std::uint32_t>(std::count(text.begin(), bad, '\n')) + 1;
-    auto const before = std::string_view{text}.substr(0, static_cast<std::size_t>(bad - text.begin()));
-    auto const line_start = before.rfind('\n') + 1;
-    throw refusal{
-        {line, static_cast<std::uint32_t>(before.size() - line_start) + 1}, "a control character", "printable text"};
+    if (bad != text.end())
+        throw refusal{place_of(text, static_cast<std::size_t>(bad - text.begin())), "a control character",
+                      "printable text"};
+    auto const indicators = static_cast<std::size_t>(std::ranges::count_if(text, is_flow_indicator));
+    auto const most = maximum_bytes / fewest_bytes_per_value;
+    if (indicators > most)
+        throw refusal{{}, std::to_string(indicators) + " characters of \"[]{},\"", "at most " + std::to_string(most)};
 }
 
 node parse(std::string const& text, std::size_t maximum_bytes) {
     check_bytes(text, maximum_bytes);
     std::istringstream input{text};
     YAML::Parser parser{input};
-    tree_builder builder;
+    tree_builder builder{maximum_bytes / fewest_bytes_per_value};
     if (!parser.HandleNextDocument(builder))
         throw refusal{{}, "an empty document", "a map"};
     // A second document ends in a refusal by the builder.
--- a/Libraries/yaml_reader/document.h
+++ b/Libraries/yaml_reader/document.h
@@ -11,6 +11,9 @@
 
 /// Largest document. The configuration service holds values of up to 1 MB.
 inline constexpr std::size_t maximum_document_bytes = 1024 * 1024;
+/// Documents of real use have at least this many bytes for each value and each flow indicator, one of "[]{},". The
+/// parser holds about 250 bytes for each token of a flow collection, so denser documents could need 250 MB.
+inline constexpr std::size_t fewest_bytes_per_value = 8;
 /// Deepest nesting of lists and maps; the deepest document in use has 5 levels.
 inline constexpr std::size_t maximum_nesting = 16;
 
--- a/Tests/catalogue/catalogue_reader_test.cpp
+++ b/Tests/catalogue/catalogue_reader_test.cpp
@@ -15,6 +15,12 @@
 
 std::string const deep = std::string(40, '[') + std::string(40, ']');
 std::string const large = "# " + std::string(1024 * 1024, 'x') + "\nrules: 1";
+std::string const many = [] {
+    std::string items;
+    for (int index = 0; index < 140000; ++index)
+        items += "- a\n";
+    return items;
+}();
 std::string const old_digest(64, '1');
 
 std::vector<malformed_document> const malformed{
@@ -36,6 +42,8 @@
     {"tag", "revision: 7", "revision: !!int 7", "", 2},
     {"deep nesting", "revision: 7", "revision: " + deep, "", 2},
     {"too large", "rules: 1", large, "", 1},
+    {"too dense for the parser's memory", "rules: 1", "rules: " + std::string(140000, '['), "", 1},
+    {"too many values", "revision: 7", "revision:\n" + many, "", 131074},
     {"control character", "owner: text-team", std::string{"owner: text\x01team"}, "", 8},
     {"second document", "rules: 1", "rules: 1\n---\nrules: 1", "", 2},
     {"key that is a list", "rules: 1", "[a]: 1", "", 1},
