--- a/Libraries/agent/generation_controller.cpp
+++ b/Libraries/agent/generation_controller.cpp
@@ -75,6 +75,7 @@
 
 asio::awaitable<void> generation_controller::watch_engine() {
     asio::steady_timer timer{strand_};
+    bool reachable = true;
     while (true) {
         auto const status = co_await engine_.status();
         auto const now = base::clock::now();
@@ -96,11 +97,15 @@
                 log::write(log::event_kind::target_restarted, {{"incarnation", report.incarnation}});
             apply(decisions);
         }
-        bool const reachable = static_cast<bool>(status);
-        bool const changed = board_.target.with(
-            [&](target_view& view) { return std::exchange(view.reachable, reachable) != reachable || !reachable; });
-        if (changed && !reachable)
-            log::write(log::event_kind::target_unreachable, {{"reason", status.error().message}});
+        if (!status)
+            board_.target.with([](target_view& view) { view.reachable = false; });
+        if (status.has_value() != reachable) {
+            reachable = status.has_value();
+            if (reachable)
+                log::write(log::event_kind::target_reachable);
+            else
+                log::write(log::event_kind::target_unreachable, {{"reason", status.error().message}});
+        }
         timer.expires_after(status_interval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
