--- /dev/null
+++ b/Libraries/once/moment.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "base/time.h"
+
+namespace cyclamenledge::once {
+
+/// One instant on both clocks of a process. Intervals use the steady clock; key creation times use the wall clock.
+struct moment {
+    base::time_point steady{};
+    base::wall_time wall{};
+};
+
+} // namespace cyclamenledge::once
