Cache the home entry of a family in the issuer

Cause: a grant hashed every published entry to find the home entry.

Change: the result is kept per family and renewed with the catalogue.

--- a/Libraries/limits/credit_issuer.cpp
+++ b/Libraries/limits/credit_issuer.cpp
@@ -58,23 +58,40 @@
         cautious_until_ = now + credit_lease;
     catalogue_ = std::move(published);
     for (auto& [family_name, group] : families_) {
+        auto const* head = catalogue_->find_organisation(family_name);
+        group.at_home = head != nullptr && home_entry(*catalogue_, *head) == entry_;
         for (auto& [name, item] : group.members)
             item.published = catalogue_->find_organisation(name);
     }
 }
 
+credit_issuer::family* credit_issuer::find_family(catalogue::organisation const& published, base::time_point now) {
+    std::string name{family_of(published)};
+    auto const found = families_.find(name);
+    if (found != families_.end() && found->second.at_home)
+        return &found->second;
+    if (home_entry(*catalogue_, published) != entry_)
+        return nullptr;
+    auto& group = families_.try_emplace(std::move(name), accrues_from(now)).first->second;
+    group.at_home = true;
+    return &group;
+}
+
+base::time_point credit_issuer::accrues_from(base::time_point now) const {
+    // An issuer that has been the home for a lease knows that a member without state has no unspent credit.
+    return now < cautious_until_ ? now : now - credit_lease;
+}
+
 base::result<credit_grant> credit_issuer::request(credit_request const& ask, base::time_point now) {
     if (now - expired_at_ >= credit_lease)
         expire(now);
     auto const* published = catalogue_->find_organisation(ask.organisation);
     if (published == nullptr)
         return base::make_error(base::error_kind::not_found, "organisation " + ask.organisation + " is not published");
-    if (home_entry(*catalogue_, *published) != entry_)
+    auto* group = find_family(*published, now);
+    if (group == nullptr)
         return base::make_error(base::error_kind::not_owner, "another entry issues credit for " + ask.organisation);
-    // An issuer that has been the home for a lease knows that a member without state has no unspent credit.
-    auto const accrues_from = now < cautious_until_ ? now : now - credit_lease;
-    auto& group = families_.try_emplace(std::string(family_of(*published)), accrues_from).first->second;
-    auto& item = group.members.try_emplace(ask.organisation, accrues_from).first->second;
+    auto& item = group->members.try_emplace(ask.organisation, accrues_from(now)).first->second;
     item.published = published;
     auto const [found, is_new] = item.holders.try_emplace(ask.entry);
     if (is_new && holder_count_ >= maximum_holders) {
@@ -97,9 +114,9 @@
     credit_grant grant{ask.organisation, ask.sequence, {}, 0, credit_lease};
     for (std::size_t resource = 0; resource < rate_resources.size(); ++resource) {
         auto const amount = rate_resources[resource];
-        grant.credit.*amount = grant_rate(group, item, asking, resource, ask.wanted.*amount, now);
+        grant.credit.*amount = grant_rate(*group, item, asking, resource, ask.wanted.*amount, now);
     }
-    grant.concurrent = grant_slots(group, item, asking, ask, now);
+    grant.concurrent = grant_slots(*group, item, asking, ask, now);
     return grant;
 }
 
--- a/Libraries/limits/credit_issuer.h
+++ b/Libraries/limits/credit_issuer.h
@@ -71,6 +71,8 @@
         std::unordered_map<std::string, holder> holders;
     };
     struct family {
+        /// Cached because it takes a hash per published entry.
+        bool at_home{false};
         explicit family(base::time_point now)
             : total{{accrual{now}, accrual{now}}} {}
 
@@ -79,6 +81,8 @@
     };
 
     bool enabled(mechanism part) const { return !left_out_.test(static_cast<std::size_t>(part)); }
+    family* find_family(catalogue::organisation const& published, base::time_point now);
+    base::time_point accrues_from(base::time_point now) const;
     void refresh(member& item, base::time_point now);
     static void count_slots(holder& item, base::time_point now);
     double rest_for(family const& group, member const& item, double limit_total,
