Let hints age with the duration of requests

Cause: with a half-life of 2 s, hints outweighed the own outstanding count where requests take 1 s.

Change: the half-life is a fifth of the mean duration of own requests at the target, between 0.2 and 2 s.

--- a/Development/routing_bench/benchmarks.cpp
+++ b/Development/routing_bench/benchmarks.cpp
@@ -48,7 +48,7 @@
         request.prefix = ++count % 5000 + 1;
         auto const decision = table.choose(request, start + 1s);
         table.on_sent(decision.target, request.prefix, start + 1s);
-        table.on_outcome(decision.target, routing::attempt_outcome::success, start + 1s);
+        table.on_outcome(decision.target, routing::attempt_outcome::success, 1s, start + 1s);
         benchmark::DoNotOptimize(decision.target);
     }
 }
--- a/Development/routing_bench/comparison.cpp
+++ b/Development/routing_bench/comparison.cpp
@@ -151,7 +151,8 @@
                 result_.waits.push_back(base::to_seconds(now_ - next.arrived));
             at(now_ + base::from_seconds(exponential(mean_service_seconds / target.speed)), [this, next] {
                 --targets_[next.target].running;
-                tables_[next.entry].on_outcome(next.target, routing::attempt_outcome::success, now_);
+                tables_[next.entry].on_outcome(next.target, routing::attempt_outcome::success, now_ - next.arrived,
+                                               now_);
                 serve(next.target);
             });
         }
--- a/Libraries/routing/routing_policy.h
+++ b/Libraries/routing/routing_policy.h
@@ -9,8 +9,12 @@
 
 /// Constants of the choice of a target.
 struct routing_policy {
-    /// A hint counts half after this time and the mean of the service takes its place.
-    base::milliseconds hint_half_life{2000};
+    /// A hint counts half after this share of the mean duration of requests at the target, within the limits below, and
+    /// the mean of the service takes its place. A target whose requests take 1 s is a different one 1 s later.
+    double hint_half_life_share{0.2};
+    base::milliseconds hint_half_life_least{200};
+    /// Also used until a duration is known.
+    base::milliseconds hint_half_life_most{2000};
     /// Expected wait at a target whose bound is used up; the first-token target of 390 ms, rounded.
     double full_load_milliseconds{400};
     /// A round trip between regions (2 x 20 ms) and the price of the traffic, which is billed by volume.
--- a/Libraries/routing/target_state.cpp
+++ b/Libraries/routing/target_state.cpp
@@ -10,7 +10,18 @@
     if (!hint_at)
         return 0;
     auto const age = std::max(base::to_seconds(now - *hint_at), 0.0);
-    return std::exp2(-age / base::to_seconds(policy.hint_half_life));
+    auto const least = base::to_seconds(policy.hint_half_life_least);
+    auto const most = base::to_seconds(policy.hint_half_life_most);
+    auto const half_life =
+        mean_seconds > 0 ? std::clamp(policy.hint_half_life_share * mean_seconds, least, most) : most;
+    return std::exp2(-age / half_life);
+}
+
+void target_state::observe_duration(base::duration elapsed) {
+    // A weight of 1/16 follows a change of lengths within some tens of requests.
+    constexpr double weight = 1.0 / 16;
+    auto const value = base::to_seconds(elapsed);
+    mean_seconds = mean_seconds > 0 ? mean_seconds + weight * (value - mean_seconds) : value;
 }
 
 double target_state::others_at_hint() const {
--- a/Libraries/routing/target_state.h
+++ b/Libraries/routing/target_state.h
@@ -31,6 +31,8 @@
     std::optional<base::time_point> hint_at{};
     std::uint32_t own_at_hint{0};
     std::uint32_t own_outstanding{0};
+    /// Mean duration of own successful requests, zero while unknown.
+    double mean_seconds{0};
 
     ramp_kind ramp{ramp_kind::until_warm};
     base::time_point ramp_start{};
@@ -53,6 +55,7 @@
     /// Own outstanding requests that the ramp allows.
     std::uint32_t allowance(base::time_point now, routing_policy const& policy) const;
 
+    void observe_duration(base::duration elapsed);
     void start_ramp(ramp_kind kind, base::time_point now);
     void set_hint(load_hint const& value, base::time_point now);
     void eject(base::time_point now, routing_policy const& policy);
--- a/Libraries/routing/target_table.cpp
+++ b/Libraries/routing/target_table.cpp
@@ -255,7 +255,8 @@
     prefixes_.on_routed(prefix, state->id, now);
 }
 
-void target_table::on_outcome(std::string_view target, attempt_outcome outcome, base::time_point now) {
+void target_table::on_outcome(std::string_view target, attempt_outcome outcome, base::duration elapsed,
+                              base::time_point now) {
     auto* state = find_state(target);
     if (state == nullptr)
         return;
@@ -263,6 +264,7 @@
         --state->own_outstanding;
     if (outcome == attempt_outcome::success) {
         state->consecutive_failures = 0;
+        state->observe_duration(elapsed);
         if (state->ejected_at && state->probing)
             state->release(now);
         else if (!state->ejected_at)
--- a/Libraries/routing/target_table.h
+++ b/Libraries/routing/target_table.h
@@ -38,7 +38,8 @@
     /// Decides only. The caller reports an attempt with on_sent and its end with on_outcome.
     route_decision choose(route_request const& request, base::time_point now);
     void on_sent(std::string_view target, std::uint64_t prefix, base::time_point now);
-    void on_outcome(std::string_view target, attempt_outcome outcome, base::time_point now);
+    /// The duration is the time since on_sent, without time in which the caller did not take tokens.
+    void on_outcome(std::string_view target, attempt_outcome outcome, base::duration elapsed, base::time_point now);
 
     std::vector<target_state> const& targets() const { return states_; }
     target_state const* find(std::string_view target) const;
--- a/Tests/routing/target_table_test.cpp
+++ b/Tests/routing/target_table_test.cpp
@@ -42,7 +42,7 @@
 void fail(routing::target_table& table, std::string_view target, base::time_point now, int times = 5) {
     for (int i = 0; i < times; ++i) {
         table.on_sent(target, 0, now);
-        table.on_outcome(target, attempt_outcome::failure, now);
+        table.on_outcome(target, attempt_outcome::failure, 1s, now);
     }
 }
 
@@ -166,7 +166,7 @@
                 auto const decision = table.choose(request, start + 10s);
                 ++chosen[decision.target];
                 table.on_sent(decision.target, request.prefix, start + 10s);
-                table.on_outcome(decision.target, attempt_outcome(i % 2), start + 10s);
+                table.on_outcome(decision.target, attempt_outcome(i % 2), 1s, start + 10s);
             }
             for (auto const* name : {"target-1", "target-2", "target-3", "target-4"})
                 CPPUNIT_ASSERT_EQUAL(0, chosen[name]);
@@ -253,7 +253,7 @@
         CPPUNIT_ASSERT(decision.rule == routing::choice_rule::probe && decision.target == "target-0");
         table.on_sent("target-0", 0, start + 11s);
         CPPUNIT_ASSERT(table.choose(request, start + 11s).target != "target-0");
-        table.on_outcome("target-0", attempt_outcome::success, start + 12s);
+        table.on_outcome("target-0", attempt_outcome::success, 1s, start + 12s);
         CPPUNIT_ASSERT(!table.find("target-0")->ejected_at.has_value());
     }
 
