Count a region as full from 85% of its bounds

Cause: with lagging hints some targets of a full region look free, so requests stayed at home and queued.

Change: requests that may cross when the region is full cross from a usage of 0.85 of the candidates' bounds, by cost.

--- a/Libraries/routing/routing_policy.h
+++ b/Libraries/routing/routing_policy.h
@@ -19,6 +19,9 @@
     double full_load_milliseconds{400};
     /// A round trip between regions (2 x 20 ms) and the price of the traffic, which is billed by volume.
     double region_price_milliseconds{80};
+    /// A region counts as full from this usage of its candidates, because at a higher one lagging hints hide full
+    /// targets.
+    double full_region_usage{0.85};
     /// Prefix affinity holds while the target's load is at most this multiple of the mean.
     double affinity_load_factor{1.25};
     base::seconds prefix_lifetime{600};
--- a/Libraries/routing/target_table.cpp
+++ b/Libraries/routing/target_table.cpp
@@ -125,9 +125,19 @@
 void target_table::hold_in_region(candidates& considered, route_request const& request) const {
     if (request.crossing != catalogue::region_crossing::when_full)
         return;
-    bool const room_in_region = std::any_of(considered.begin(), considered.end(), [this](candidate const& item) {
-        return item.reason == skip_reason::not_sampled && !states_[item.slot].crosses_region;
-    });
+    double load = 0;
+    double bound = 0;
+    bool room_in_region = false;
+    for (auto const& item : considered) {
+        auto const& state = states_[item.slot];
+        bool const usable = item.reason == skip_reason::not_sampled || item.reason == skip_reason::full;
+        if (state.crosses_region || !usable)
+            continue;
+        load += item.load;
+        bound += state.bound();
+        room_in_region = room_in_region || item.reason == skip_reason::not_sampled;
+    }
+    room_in_region = room_in_region && load < policy_.full_region_usage * bound;
     if (!room_in_region)
         return;
     for (auto& item : considered) {
