Pool the uncertainty of the output lengths of running streams

Cause: the sum of the streams' quantiles reserves for all of them being long at once, which left memory unused. Change: each stream reserves its median length; the spreads up to the quantile are added as independent, by squares.

--- a/Development/policy_bench/main.cpp
+++ b/Development/policy_bench/main.cpp
@@ -14,9 +14,10 @@
 using admission::mechanism;
 
 constexpr std::array loads{0.5, 0.8, 1.0, 1.3, 2.0};
-constexpr std::array<std::pair<char const*, mechanism>, 12> ablations{{
+constexpr std::array<std::pair<char const*, mechanism>, 13> ablations{{
     {"no length reservation", mechanism::length_reservation},
     {"median instead of quantile", mechanism::length_quantile},
+    {"sum of quantiles", mechanism::pooled_spread},
     {"no conditional tail", mechanism::conditional_tail},
     {"no ageing", mechanism::ageing},
     {"no batch bound", mechanism::batch_bound},
--- a/Libraries/admission/admission_controller.cpp
+++ b/Libraries/admission/admission_controller.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t tokens_per_success = 32;
 /// A class that met the memory limit counts as kept out for this long.
 constexpr base::duration blocked_span = base::seconds{2};
+/// Tokens after which the length is predicted again for the first time.
+constexpr std::uint32_t first_prediction = 16;
 constexpr base::milliseconds shortest_retry{100};
 constexpr base::milliseconds longest_retry{30000};
 /// Expected wait while no stream has ended yet.
@@ -89,14 +91,28 @@
     return std::nullopt;
 }
 
-std::uint32_t admission_controller::reservation(admission_request const& request, class_state const& of_class) {
-    std::uint64_t expected = 1;
-    if (disabled_.on(mechanism::length_reservation))
-        expected = predictor_.quantile(request.organisation, of_class.key, request.model, of_class.quantile);
+memory_reserve admission_controller::bounded_reserve(std::uint64_t held, std::uint64_t expected,
+                                                     std::uint64_t at_quantile,
+                                                     admission_request const& request) const {
+    // An idle target takes any prompt that fits, so one stream never reserves more than the memory.
+    auto most = std::max(limits_.memory_tokens, held);
     if (request.maximum_output_tokens != 0)
-        expected = std::min<std::uint64_t>(expected, request.maximum_output_tokens);
-    // An idle target takes any prompt that fits.
-    return static_cast<std::uint32_t>(std::min(request.prompt_tokens + expected, limits_.memory_tokens));
+        most = std::min(most, std::max(held, std::uint64_t{request.prompt_tokens} + request.maximum_output_tokens));
+    auto const middle = std::min(most, held + expected);
+    return {middle, std::max(middle, std::min(most, held + at_quantile)) - middle};
+}
+
+memory_reserve admission_controller::reservation(admission_request const& request, class_state const& of_class) {
+    if (disabled_.off(mechanism::length_reservation))
+        return bounded_reserve(request.prompt_tokens, 1, 1, request);
+    auto const at = [&](double q) { return predictor_.quantile(request.organisation, of_class.key, request.model, q); };
+    return bounded_reserve(request.prompt_tokens, at(0.5), at(of_class.quantile), request);
+}
+
+std::uint64_t admission_controller::reserved_with(memory_reserve const& added) const {
+    auto sum = reserved_;
+    sum.add(added);
+    return sum.tokens(disabled_.on(mechanism::pooled_spread));
 }
 
 std::uint64_t admission_controller::unexplained_tokens(base::time_point now) const {
@@ -118,7 +134,7 @@
     return bound;
 }
 
-bool admission_controller::memory_kept_for_others(std::size_t service_class, std::uint32_t reservation,
+bool admission_controller::memory_kept_for_others(std::size_t service_class, memory_reserve const& needed,
                                                   base::time_point now) const {
     double weights = 0;
     for (std::size_t index = 0; index < classes_.size(); ++index) {
@@ -130,14 +146,15 @@
         return static_cast<double>(limits_.memory_tokens) * each.parameters.weight / weights;
     };
     auto const& own = classes_[service_class];
-    if (static_cast<double>(own.reserved + reservation) <= share_of(own))
+    if (static_cast<double>(own.reserved.expected() + needed.expected) <= share_of(own))
         return false;
     return std::any_of(classes_.begin(), classes_.end(), [&](class_state const& each) {
-        return &each != &own && each.blocked_until > now && static_cast<double>(each.reserved) < share_of(each);
+        return &each != &own && each.blocked_until > now &&
+               static_cast<double>(each.reserved.expected()) < share_of(each);
     });
 }
 
-admission_limit admission_controller::limit_reached(std::size_t service_class, std::uint32_t reservation,
+admission_limit admission_controller::limit_reached(std::size_t service_class, memory_reserve const& needed,
                                                     base::time_point now) const {
     auto const batch = effective_running(now);
     if (disabled_.on(mechanism::warmup) && batch >= warmup_.bound())
@@ -146,23 +163,23 @@
         return admission_limit::batch;
     if (batch >= limits_.maximum_running)
         return admission_limit::batch;
-    auto used = reserved_ + unexplained_tokens(now);
+    auto wanted = reserved_with(needed) + unexplained_tokens(now);
     if (disabled_.off(mechanism::own_count) && report_)
-        used = report_->held_tokens;
-    if (used + reservation > limits_.memory_tokens)
+        wanted = report_->held_tokens + needed.expected + needed.spread;
+    if (wanted > limits_.memory_tokens)
         return admission_limit::memory;
-    if (disabled_.on(mechanism::share_guard) && memory_kept_for_others(service_class, reservation, now))
+    if (disabled_.on(mechanism::share_guard) && memory_kept_for_others(service_class, needed, now))
         return admission_limit::share;
     return admission_limit::none;
 }
 
-void admission_controller::start(admission_request const& request, std::size_t service_class, std::uint32_t reserved,
-                                 base::time_point now) {
+void admission_controller::start(admission_request const& request, std::size_t service_class,
+                                 memory_reserve const& reserved, base::time_point now) {
     stream_state stream;
     stream.request = request;
     stream.service_class = service_class;
     stream.reserved = reserved;
-    stream.predict_again_at = std::max(16U, std::min(64U, reserved - std::min(reserved, request.prompt_tokens)));
+    stream.predict_again_at = first_prediction;
     stream.next_success_at = tokens_per_success;
     stream.last_token = now;
     if (!streams_.emplace(request.stream, stream).second)
@@ -170,9 +187,9 @@
     auto& of_class = classes_[service_class];
     ++of_class.running;
     ++of_class.admitted;
-    of_class.reserved += reserved;
+    of_class.reserved.add(reserved);
     of_class.blocked_until = {};
-    reserved_ += reserved;
+    reserved_.add(reserved);
     held_ += request.prompt_tokens;
     record_counts(now);
 }
@@ -228,34 +245,37 @@
 }
 
 base::duration admission_controller::expected_wait(std::size_t service_class, std::size_t ahead,
-                                                   std::uint32_t reservation, base::time_point now) {
+                                                   memory_reserve const& needed, base::time_point now) {
     auto const rate = ends_.per_second(now) * queue_.share(service_class);
     if (rate <= 0)
         return unknown_wait;
     auto const batch = static_cast<double>(effective_running(now));
     auto const bound = std::min<double>(smallest_batch_bound(service_class), warmup_.bound());
     auto ends_needed = std::max(1.0, batch - bound + 1.0);
-    if (!streams_.empty() && reserved_ + reservation > limits_.memory_tokens) {
-        auto const mean = static_cast<double>(reserved_) / static_cast<double>(streams_.size());
-        ends_needed =
-            std::max(ends_needed, static_cast<double>(reserved_ + reservation - limits_.memory_tokens) / mean);
+    auto const wanted = reserved_with(needed);
+    if (!streams_.empty() && wanted > limits_.memory_tokens) {
+        auto const mean = static_cast<double>(reserved_tokens()) / static_cast<double>(streams_.size());
+        ends_needed = std::max(ends_needed, static_cast<double>(wanted - limits_.memory_tokens) / mean);
     }
     return base::from_seconds((ends_needed + static_cast<double>(ahead)) / rate);
 }
 
 void admission_controller::predict_again(stream_state& stream) {
-    auto const& of_class = classes_[stream.service_class];
+    auto& of_class = classes_[stream.service_class];
     auto const so_far = stream.produced;
-    std::uint32_t left = 1;
-    if (disabled_.on(mechanism::conditional_tail) && disabled_.on(mechanism::length_reservation))
-        left = predictor_.remaining(stream.request.organisation, of_class.key, stream.request.model, so_far,
-                                    of_class.quantile);
-    if (auto const most = stream.request.maximum_output_tokens; most != 0)
-        left = std::min(left, most > so_far ? most - so_far : 1);
-    auto const reserved = std::uint64_t{stream.request.prompt_tokens} + so_far + left;
-    reserved_ += reserved - stream.reserved;
-    classes_[stream.service_class].reserved += reserved - stream.reserved;
-    stream.reserved = reserved;
+    auto const predicts = disabled_.on(mechanism::conditional_tail) && disabled_.on(mechanism::length_reservation);
+    auto const left_at = [&](double q) {
+        auto const& request = stream.request;
+        return predicts ? predictor_.remaining(request.organisation, of_class.key, request.model, so_far, q) : 1U;
+    };
+    auto const left = left_at(0.5);
+    auto const held = std::uint64_t{stream.request.prompt_tokens} + so_far;
+    auto const renewed = bounded_reserve(held, left, left_at(of_class.quantile), stream.request);
+    of_class.reserved.remove(stream.reserved);
+    reserved_.remove(stream.reserved);
+    of_class.reserved.add(renewed);
+    reserved_.add(renewed);
+    stream.reserved = renewed;
     // A prediction is renewed when the stream has grown by half or outlives it, which bounds the cost per token.
     auto const grown = so_far + std::max(8U, so_far / 2);
     stream.predict_again_at = std::max(so_far + 1, std::min(grown, so_far + left));
@@ -299,8 +319,8 @@
         warmup_.on_success(now);
     }
     --of_class.running;
-    of_class.reserved -= state.reserved;
-    reserved_ -= state.reserved;
+    of_class.reserved.remove(state.reserved);
+    reserved_.remove(state.reserved);
     held_ -= state.request.prompt_tokens + state.produced;
     streams_.erase(found);
     ends_.on_event(now);
@@ -342,7 +362,7 @@
         for (std::size_t position = 0; position < line.size(); ++position) {
             auto const& each = line[position];
             auto const expired = each.give_up_at <= now && disabled_.on(mechanism::queue_bound);
-            auto const wait = expected_wait(index, kept, each.reservation, now);
+            auto const wait = expected_wait(index, kept, each.needed, now);
             if (expired || (disabled_.on(mechanism::early_refusal) && wait > each.give_up_at - now)) {
                 ++classes_[index].refused;
                 decisions.push_back(refuse(each.request.stream,
@@ -365,7 +385,7 @@
         if (waiting.give_up_at <= now && disabled_.on(mechanism::queue_bound)) {
             ++classes_[*next].refused;
             decisions.push_back(refuse(waiting.request.stream, base::error_kind::queue_timeout,
-                                       expected_wait(*next, 0, waiting.reservation, now)));
+                                       expected_wait(*next, 0, waiting.needed, now)));
             queue_.line(*next).pop_front();
             continue;
         }
@@ -387,7 +407,7 @@
 load_hint admission_controller::hint() const {
     return {.running = running(),
             .queued = static_cast<std::uint32_t>(queue_.total()),
-            .held_fraction = static_cast<float>(reserved_) / static_cast<float>(limits_.memory_tokens),
+            .held_fraction = static_cast<float>(reserved_tokens()) / static_cast<float>(limits_.memory_tokens),
             .warmup_bound = warmup_.bound(),
             .incarnation = incarnation_,
             .warm = warmup_.warm()};
@@ -396,7 +416,7 @@
 admission_snapshot admission_controller::snapshot(base::time_point now) {
     admission_snapshot state{.hint = hint(),
                              .held_tokens = held_,
-                             .reserved_tokens = reserved_,
+                             .reserved_tokens = reserved_tokens(),
                              .memory_tokens = limits_.memory_tokens,
                              .unexplained_tokens = unexplained_tokens(now),
                              .unexplained_running = now < report_expires_ ? unexplained_running_ : 0,
@@ -406,7 +426,7 @@
     for (std::size_t index = 0; index < classes_.size(); ++index) {
         auto const& each = classes_[index];
         state.classes.push_back({each.parameters.name, each.running, static_cast<std::uint32_t>(queue_.size(index)),
-                                 each.bound.bound(), each.reserved, each.admitted, each.refused});
+                                 each.bound.bound(), each.reserved.expected(), each.admitted, each.refused});
     }
     return state;
 }
--- a/Libraries/admission/admission_controller.h
+++ b/Libraries/admission/admission_controller.h
@@ -6,6 +6,7 @@
 #include "admission/event_rate.h"
 #include "admission/length_predictor.h"
 #include "admission/mechanism.h"
+#include "admission/memory_reserve.h"
 #include "admission/recent_maximum.h"
 #include "admission/warmup_limit.h"
 #include "base/time.h"
@@ -52,7 +53,7 @@
     load_hint hint() const;
     admission_snapshot snapshot(base::time_point now);
     length_predictor& predictor() { return predictor_; }
-    std::uint64_t reserved_tokens() const { return reserved_; }
+    std::uint64_t reserved_tokens() const { return reserved_.tokens(disabled_.on(mechanism::pooled_spread)); }
     std::uint64_t held_tokens() const { return held_; }
     std::uint32_t running() const { return static_cast<std::uint32_t>(streams_.size()); }
     std::uint32_t warmup_bound() const { return warmup_.bound(); }
@@ -71,7 +72,7 @@
         double quantile{0};
         batch_bound bound;
         std::uint32_t running{0};
-        std::uint64_t reserved{0};
+        memory_reserve_sum reserved;
         std::uint64_t admitted{0};
         std::uint64_t refused{0};
         /// Until when the class counts as kept out by the memory limit.
@@ -82,7 +83,7 @@
         admission_request request;
         std::size_t service_class{0};
         std::uint32_t produced{0};
-        std::uint64_t reserved{0};
+        memory_reserve reserved;
         /// Number of tokens at which the remaining length is predicted again.
         std::uint32_t predict_again_at{0};
         std::uint32_t next_success_at{0};
@@ -95,16 +96,19 @@
     std::optional<std::size_t> find_class(std::uint64_t key) const;
     batch_bound_parameters bound_parameters(catalogue::service_class const& parameters) const;
     double reserved_quantile(catalogue::service_class const& parameters) const;
-    std::uint32_t reservation(admission_request const& request, class_state const& of_class);
-    admission_limit limit_reached(std::size_t service_class, std::uint32_t reservation, base::time_point now) const;
-    bool memory_kept_for_others(std::size_t service_class, std::uint32_t reservation, base::time_point now) const;
+    memory_reserve reservation(admission_request const& request, class_state const& of_class);
+    memory_reserve bounded_reserve(std::uint64_t held, std::uint64_t expected, std::uint64_t at_quantile,
+                                   admission_request const& request) const;
+    std::uint64_t reserved_with(memory_reserve const& added) const;
+    admission_limit limit_reached(std::size_t service_class, memory_reserve const& needed, base::time_point now) const;
+    bool memory_kept_for_others(std::size_t service_class, memory_reserve const& needed, base::time_point now) const;
     std::uint32_t smallest_batch_bound(std::size_t service_class) const;
     std::uint32_t effective_running(base::time_point now) const;
     std::uint64_t unexplained_tokens(base::time_point now) const;
-    void start(admission_request const& request, std::size_t service_class, std::uint32_t reserved,
+    void start(admission_request const& request, std::size_t service_class, memory_reserve const& reserved,
                base::time_point now);
     void predict_again(stream_state& stream);
-    base::duration expected_wait(std::size_t service_class, std::size_t ahead, std::uint32_t reservation,
+    base::duration expected_wait(std::size_t service_class, std::size_t ahead, memory_reserve const& needed,
                                  base::time_point now);
     admission_decision refuse(std::uint64_t stream, base::error_kind error, base::duration wait) const;
     void refuse_hopeless(base::time_point now, std::vector<admission_decision>& decisions);
@@ -119,7 +123,7 @@
     boost::unordered_flat_map<std::uint64_t, stream_state> streams_;
     /// Running sums over streams_: tokens held now, and held plus expected.
     std::uint64_t held_{0};
-    std::uint64_t reserved_{0};
+    memory_reserve_sum reserved_;
     recent_maximum recent_held_;
     recent_maximum recent_running_;
     std::optional<load_report> report_;
--- a/Libraries/admission/class_queue.cpp
+++ b/Libraries/admission/class_queue.cpp
@@ -54,7 +54,7 @@
 void class_queue::pop(std::size_t service_class) {
     auto& line = lines_[service_class];
     virtual_now_ = std::max(virtual_now_, line.virtual_time);
-    line.virtual_time += static_cast<double>(line.waiting.front().reservation) / line.parameters.weight;
+    line.virtual_time += static_cast<double>(line.waiting.front().needed.expected) / line.parameters.weight;
     line.waiting.pop_front();
 }
 
--- a/Libraries/admission/class_queue.h
+++ b/Libraries/admission/class_queue.h
@@ -2,6 +2,7 @@
 
 #include "admission/admission_types.h"
 #include "admission/mechanism.h"
+#include "admission/memory_reserve.h"
 #include "base/time.h"
 
 #include <cstddef>
@@ -21,8 +22,8 @@
 
 struct waiting_request {
     admission_request request;
-    /// Tokens that it will reserve, which is also its cost in the weighted order.
-    std::uint32_t reservation{0};
+    /// The expected part is its cost in the weighted order.
+    memory_reserve needed;
     base::time_point queued_at{};
     /// The earlier of the queue's and the caller's deadline.
     base::time_point give_up_at{};
--- a/Libraries/admission/mechanism.h
+++ b/Libraries/admission/mechanism.h
@@ -12,6 +12,8 @@
     length_reservation,
     /// The catalogue's quantile; without it the median is reserved.
     length_quantile,
+    /// The quantile of the sum of lengths; without it the sum of the quantiles.
+    pooled_spread,
     conditional_tail,
     ageing,
     batch_bound,
