Keep room for a class below its weighted share

Cause: with early refusal the queue is short, so what becomes free went to whichever class sent most. Change: a class that met a limit while below its share gets the next room; classes above theirs wait up to 2 s. The benchmark gains the scenarios flood and changed lengths and sums cold overload over all scenarios.

--- a/Development/policy_bench/main.cpp
+++ b/Development/policy_bench/main.cpp
@@ -13,6 +13,7 @@
 
 using admission::mechanism;
 
+constexpr double history_requests = 5000;
 constexpr std::array loads{0.5, 0.8, 1.0, 1.3, 2.0};
 constexpr std::array<std::pair<char const*, mechanism>, 13> ablations{{
     {"no length reservation", mechanism::length_reservation},
@@ -85,11 +86,24 @@
             };
             for (auto const& policy : policies)
                 run_one(policy, results.comparison);
-            if (load != 1.3)
-                continue;
-            run_one(policies.front(), results.ablation);
+        }
+        for (auto const& scenario :
+             {std::pair(user, 1.3), std::pair(with_changed_lengths(user), 0.8), std::pair(with_flood(user), 1.0)}) {
+            auto const& shape = scenario.first;
+            auto const load = scenario.second;
+            auto const rate = capacity.requests_per_second * results.parameters.targets * load * total_share(shape);
+            auto const arrivals = make_arrivals(shape, rate, seconds, seed);
+            // A change of lengths is met with a long history of the former ones.
+            auto with_history = results.parameters;
+            if (shape.middle_length_factor != 1)
+                with_history.history = make_arrivals(user, history_requests, 1, seed + 1);
+            auto const run_one = [&](policy_choice const& policy) {
+                results.ablation.push_back(simulate(with_history, shape, policy, arrivals));
+                results.ablation.back().load = load;
+            };
+            run_one(policies.front());
             for (auto const& [name, part] : ablations)
-                run_one(controller_policy(name, part), results.ablation);
+                run_one(controller_policy(name, part));
         }
     }
     results.checks = check_targets(results.comparison, results.ablation);
--- a/Development/policy_bench/policy.cpp
+++ b/Development/policy_bench/policy.cpp
@@ -36,6 +36,9 @@
     void on_incarnation(std::uint64_t id, base::duration uptime, base::time_point now) override {
         controller_.on_incarnation(id, uptime, now);
     }
+    void learn(std::uint64_t organisation, std::uint64_t service_class, std::uint32_t length) override {
+        controller_.predictor().observe(organisation, service_class, only_model, length);
+    }
 
 private:
     admission::admission_controller controller_;
--- a/Development/policy_bench/policy.h
+++ b/Development/policy_bench/policy.h
@@ -26,9 +26,13 @@
     virtual void on_token(std::uint64_t stream, base::time_point now) = 0;
     virtual void on_end(std::uint64_t stream, admission::stream_end end, base::time_point now) = 0;
     virtual void on_load_report(admission::load_report const& report, base::time_point now) = 0;
+    /// Takes a length from before the run.
+    virtual void learn(std::uint64_t /*organisation*/, std::uint64_t /*service_class*/, std::uint32_t /*length*/) {}
     virtual void on_incarnation(std::uint64_t id, base::duration uptime, base::time_point now) = 0;
 };
 
+constexpr std::uint64_t only_model = 1;
+
 struct policy_setup {
     admission::target_limits limits;
     std::vector<catalogue::service_class> classes;
--- a/Development/policy_bench/report.cpp
+++ b/Development/policy_bench/report.cpp
@@ -13,6 +13,22 @@
 
 constexpr std::string_view controller_name = "controller";
 
+/// Reasons for mechanisms that the ablation does not justify by itself.
+constexpr std::string_view mechanism_notes = R"(
+In the scenario "changed lengths" every target has learned 5,000 requests beforehand and outputs are three times as long
+in the middle third. In the scenario "flood" the second class sends six times as much.
+
+Mechanisms that stay although a table above shows no gain or a loss of goodput:
+
+- Length reservation, the quantile and the conditional tail lower Fjordvinge's goodput and avoid preemptions and stalls,
+  which that user weighs highest. Vatuloa's outputs are short, so memory does not decide there.
+- The weighted order of the queue shows no gain, because early refusal keeps the queue short. It guarantees that no class
+  starves when queue deadlines are long (test `no_class_starves`).
+- The bound of the queue shows no gain beside early refusal. It bounds the memory of the agent (test `queue_is_bounded`).
+- Ageing shows a small gain for Fjordvinge and none for Vatuloa within 300 s. Without it an old history hides a change (test `follows_a_sudden_change`).
+- The goal of a class lowers goodput slightly; it lowers the p99 gap of `token_gap` and the preemptions of `completion`.
+)";
+
 std::string text(char const* format, ...) {
     std::array<char, 512> buffer{};
     std::va_list arguments;
@@ -79,8 +95,7 @@
     return found == runs.end() ? nullptr : &*found;
 }
 
-/// Completion of the worst class relative to its fair part: the lesser of what it offered and its equal part of the
-/// completions.
+/// Share of the offered requests that completed, of the class for which it is lowest.
 double worst_class(run_result const& run) {
     double worst = 1;
     for (auto const& each : run.classes) {
@@ -123,10 +138,14 @@
             worst = std::min(worst, worst_class(run));
             cold += run.cold_overload_steps;
         }
+        for (auto const& run : ablation) {
+            if (run.user.starts_with(user) && run.policy == controller_name)
+                cold += run.cold_overload_steps;
+        }
         checks.push_back({user, "share completed of the worst class at any load, at least", worst, 0.1, worst >= 0.1});
-        checks.push_back({user, "cold overload steps over all loads", static_cast<double>(cold), 0, cold == 0});
+        checks.push_back(
+            {user, "cold overload steps over all loads and scenarios", static_cast<double>(cold), 0, cold == 0});
     }
-    static_cast<void>(ablation);
     return checks;
 }
 
@@ -178,6 +197,7 @@
                     each.met ? "met" : "missed");
     out += "\n### Comparison\n\n" + table(results.comparison);
     out += "\n### Ablation\n\nThe controller with one mechanism turned off.\n\n" + table(results.ablation);
+    out += mechanism_notes;
     return out + "\n";
 }
 
--- a/Development/policy_bench/simulation.cpp
+++ b/Development/policy_bench/simulation.cpp
@@ -65,6 +65,8 @@
             targets_.push_back({engine_model::engine(parameters.engine, base::time_point{}, false), policy.make(setup),
                                 0, std::nullopt});
             targets_.back().policy->on_incarnation(1, {}, base::time_point{});
+            for (auto const& each : parameters.history)
+                targets_.back().policy->learn(each.organisation, class_keys_[each.service_class], each.output_tokens);
         }
     }
 
@@ -245,7 +247,7 @@
         return {.stream = index,
                 .organisation = source.organisation,
                 .service_class = class_keys_[source.service_class],
-                .model = 1,
+                .model = only_model,
                 .prompt_tokens = source.prompt_tokens,
                 .maximum_output_tokens = 0};
     }
--- a/Development/policy_bench/simulation.h
+++ b/Development/policy_bench/simulation.h
@@ -19,6 +19,8 @@
     double drain_seconds{900};
     /// A target restarts cold at 0.2 and another one crashes at 0.5 of the run.
     bool faults{true};
+    /// Requests whose lengths every target has learned before the run.
+    std::vector<arrival> history;
 };
 
 struct class_result {
--- a/Development/policy_bench/workload.cpp
+++ b/Development/policy_bench/workload.cpp
@@ -39,7 +39,7 @@
 }
 
 std::size_t draw_class(user_shape const& user, base::random_source& random) {
-    auto left = random.unit();
+    auto left = random.unit() * total_share(user);
     for (std::size_t index = 0; index + 1 < user.classes.size(); ++index) {
         if (left < user.classes[index].arrival_share)
             return index;
@@ -64,6 +64,25 @@
              {make_class("verdict", class_goal::completion, 1), 0.6, 15, 0.5, 0.0, 400, 900}}};
 }
 
+double total_share(user_shape const& user) {
+    double sum = 0;
+    for (auto const& each : user.classes)
+        sum += each.arrival_share;
+    return sum;
+}
+
+user_shape with_changed_lengths(user_shape user) {
+    user.name += ", changed lengths";
+    user.middle_length_factor = 3;
+    return user;
+}
+
+user_shape with_flood(user_shape user) {
+    user.name += ", flood";
+    user.classes.back().arrival_share *= 6;
+    return user;
+}
+
 std::vector<arrival> make_arrivals(user_shape const& user, double per_second, double seconds, std::uint64_t seed) {
     base::random_source random(seed);
     std::vector<arrival> arrivals;
@@ -79,7 +98,9 @@
         next.organisation = 1 + static_cast<std::uint64_t>(skewed * skewed * user.organisations);
         next.service_class = draw_class(user, random);
         auto const& shape = user.classes[next.service_class];
-        auto const factor = 0.5 + static_cast<double>(next.organisation % 4) * 0.4;
+        auto const middle = at > seconds / 3 && at < seconds * 2 / 3;
+        auto const factor =
+            (0.5 + static_cast<double>(next.organisation % 4) * 0.4) * (middle ? user.middle_length_factor : 1.0);
         next.prompt_tokens = shape.shortest_prompt +
                              static_cast<std::uint32_t>(random.unit() * (shape.longest_prompt - shape.shortest_prompt));
         next.output_tokens = draw_length(shape, factor, random);
--- a/Development/policy_bench/workload.h
+++ b/Development/policy_bench/workload.h
@@ -25,6 +25,8 @@
     std::string name;
     std::vector<class_shape> classes;
     std::uint32_t organisations{10};
+    /// Applied to the output lengths in the middle third of the run.
+    double middle_length_factor{1};
 };
 
 struct arrival {
@@ -38,6 +40,12 @@
 
 user_shape vatuloa();
 user_shape fjordvinge();
+/// The same user with lengths three times as long in the middle third of the run.
+user_shape with_changed_lengths(user_shape user);
+/// The same user while its second class sends six times as much.
+user_shape with_flood(user_shape user);
+/// Rate of all classes together relative to the user without a flood.
+double total_share(user_shape const& user);
 
 /// Poisson arrivals. The same seed gives the same sequence of requests at every rate, only spaced differently.
 std::vector<arrival> make_arrivals(user_shape const& user, double per_second, double seconds, std::uint64_t seed);
--- a/Libraries/admission/admission_controller.cpp
+++ b/Libraries/admission/admission_controller.cpp
@@ -16,7 +16,7 @@
 constexpr base::duration report_lifetime = base::seconds{5};
 /// Tokens without a fault that count as one success of a cold target, since a long stream may take minutes to end.
 constexpr std::uint32_t tokens_per_success = 32;
-/// A class that met the memory limit counts as kept out for this long.
+/// A class that met a limit counts as kept out for this long.
 constexpr base::duration blocked_span = base::seconds{2};
 /// Tokens after which the length is predicted again for the first time.
 constexpr std::uint32_t first_prediction = 16;
@@ -134,24 +134,43 @@
     return bound;
 }
 
-bool admission_controller::memory_kept_for_others(std::size_t service_class, memory_reserve const& needed,
-                                                  base::time_point now) const {
+double admission_controller::weight_share(std::size_t service_class, base::time_point now) const {
     double weights = 0;
     for (std::size_t index = 0; index < classes_.size(); ++index) {
         auto const& each = classes_[index];
         if (index == service_class || each.running > 0 || each.blocked_until > now)
             weights += each.parameters.weight;
     }
-    auto const share_of = [&](class_state const& each) {
-        return static_cast<double>(limits_.memory_tokens) * each.parameters.weight / weights;
-    };
-    auto const& own = classes_[service_class];
-    if (static_cast<double>(own.reserved.expected() + needed.expected) <= share_of(own))
-        return false;
-    return std::any_of(classes_.begin(), classes_.end(), [&](class_state const& each) {
-        return &each != &own && each.blocked_until > now &&
-               static_cast<double>(each.reserved.expected()) < share_of(each);
-    });
+    return classes_[service_class].parameters.weight / weights;
+}
+
+bool admission_controller::below_share(std::size_t service_class, admission_limit limit, memory_reserve const& added,
+                                       base::time_point now) const {
+    auto const& state = classes_[service_class];
+    auto const share = weight_share(service_class, now);
+    if (limit == admission_limit::memory)
+        return static_cast<double>(state.reserved.expected() + added.expected) <=
+               share * static_cast<double>(limits_.memory_tokens);
+    auto const bound = std::min(smallest_batch_bound(service_class), warmup_.bound());
+    return state.running + 1 <= share * bound;
+}
+
+bool admission_controller::kept_for_others(std::size_t service_class, memory_reserve const& needed,
+                                           base::time_point now) const {
+    for (std::size_t index = 0; index < classes_.size(); ++index) {
+        auto const& each = classes_[index];
+        if (index != service_class && each.blocked_until > now && below_share(index, each.blocked_by, {}, now) &&
+            !below_share(service_class, each.blocked_by, needed, now))
+            return true;
+    }
+    return false;
+}
+
+void admission_controller::record_blocked(std::size_t service_class, admission_limit limit, base::time_point now) {
+    if (limit == admission_limit::none || limit == admission_limit::share)
+        return;
+    classes_[service_class].blocked_by = limit;
+    classes_[service_class].blocked_until = now + blocked_span;
 }
 
 admission_limit admission_controller::limit_reached(std::size_t service_class, memory_reserve const& needed,
@@ -168,7 +187,7 @@
         wanted = report_->held_tokens + needed.expected + needed.spread;
     if (wanted > limits_.memory_tokens)
         return admission_limit::memory;
-    if (disabled_.on(mechanism::share_guard) && memory_kept_for_others(service_class, needed, now))
+    if (disabled_.on(mechanism::share_guard) && kept_for_others(service_class, needed, now))
         return admission_limit::share;
     return admission_limit::none;
 }
@@ -188,7 +207,6 @@
     ++of_class.running;
     ++of_class.admitted;
     of_class.reserved.add(reserved);
-    of_class.blocked_until = {};
     reserved_.add(reserved);
     held_ += request.prompt_tokens;
     record_counts(now);
@@ -221,8 +239,7 @@
         start(request, *found, needed, now);
         return {.stream = request.stream, .priority = of_class.parameters.priority};
     }
-    if (limit == admission_limit::memory)
-        of_class.blocked_until = now + blocked_span;
+    record_blocked(*found, limit, now);
     auto const give_up_at = std::min(request.deadline, now + queue_.parameters(*found).deadline);
     auto const wait = expected_wait(*found, queue_.size(*found), needed, now);
     auto const hopeless = disabled_.on(mechanism::early_refusal) && wait > give_up_at - now;
@@ -246,7 +263,10 @@
 
 base::duration admission_controller::expected_wait(std::size_t service_class, std::size_t ahead,
                                                    memory_reserve const& needed, base::time_point now) {
-    auto const rate = ends_.per_second(now) * queue_.share(service_class);
+    // A class below its share is next in line for what becomes free.
+    auto const next_in_line = disabled_.on(mechanism::share_guard) && classes_[service_class].blocked_until > now &&
+                              below_share(service_class, classes_[service_class].blocked_by, needed, now);
+    auto const rate = ends_.per_second(now) * (next_in_line ? 1.0 : queue_.share(service_class));
     if (rate <= 0)
         return unknown_wait;
     auto const batch = static_cast<double>(effective_running(now));
@@ -392,8 +412,7 @@
         auto const request = waiting.request;
         auto const needed = reservation(request, classes_[*next]);
         auto const limit = limit_reached(*next, needed, now);
-        if (limit == admission_limit::memory)
-            classes_[*next].blocked_until = now + blocked_span;
+        record_blocked(*next, limit, now);
         if (limit != admission_limit::none)
             break;
         queue_.pop(*next);
--- a/Libraries/admission/admission_controller.h
+++ b/Libraries/admission/admission_controller.h
@@ -75,8 +75,9 @@
         memory_reserve_sum reserved;
         std::uint64_t admitted{0};
         std::uint64_t refused{0};
-        /// Until when the class counts as kept out by the memory limit.
+        /// Until when the class counts as kept out, and the limit that it met.
         base::time_point blocked_until{};
+        admission_limit blocked_by{admission_limit::none};
     };
 
     struct stream_state {
@@ -101,7 +102,12 @@
                                    admission_request const& request) const;
     std::uint64_t reserved_with(memory_reserve const& added) const;
     admission_limit limit_reached(std::size_t service_class, memory_reserve const& needed, base::time_point now) const;
-    bool memory_kept_for_others(std::size_t service_class, memory_reserve const& needed, base::time_point now) const;
+    double weight_share(std::size_t service_class, base::time_point now) const;
+    /// Whether the class stays within its weighted share of what the limit bounds, with one more request.
+    bool below_share(std::size_t service_class, admission_limit limit, memory_reserve const& added,
+                     base::time_point now) const;
+    bool kept_for_others(std::size_t service_class, memory_reserve const& needed, base::time_point now) const;
+    void record_blocked(std::size_t service_class, admission_limit limit, base::time_point now);
     std::uint32_t smallest_batch_bound(std::size_t service_class) const;
     std::uint32_t effective_running(base::time_point now) const;
     std::uint64_t unexplained_tokens(base::time_point now) const;
--- a/Libraries/admission/mechanism.h
+++ b/Libraries/admission/mechanism.h
@@ -22,7 +22,7 @@
     own_count,
     /// Weighted order between classes; without it the queue is first in, first out.
     fair_queue,
-    /// Memory kept for a class below its share.
+    /// Room kept for a class that is kept out while it is below its share.
     share_guard,
     early_refusal,
     /// Bounds and deadlines of the queue.
