Check the warm-up floor after a silent restart also with the mechanism off

Cause: the test of a silent restart did not show that it fails without the warm-up bound. Change: the test also runs with the mechanism turned off and expects more than the floor to be admitted. Conclusion: the check depends on the mechanism.

--- a/Tests/admission/admission_controller_test.cpp
+++ b/Tests/admission/admission_controller_test.cpp
@@ -318,21 +318,24 @@
                        base::run_statement::not_run);
     }
 
-    // Guards against counts of streams that died with their engine, and against full load after a silent restart.
+    // Guards against counts of streams that died with their engine, and against full load after a silent restart;
+    // without the warm-up bound the check fails.
     void restart_ends_streams_and_returns_to_the_floor() {
-        auto subject = make({make_class("kiosk", 1)}, {}, 2);
-        subject.on_incarnation(1, base::seconds{1}, at(0));
-        for (std::uint64_t stream = 0; stream < 200; ++stream) {
-            auto const now = at(static_cast<int>(stream) * 100);
-            subject.offer(request(stream, "kiosk"), now);
-            subject.on_end(stream, stream_end::completed, now);
+        for (auto const& off : {optional_mechanism{}, optional_mechanism{mechanism::warmup}}) {
+            auto subject = make({make_class("kiosk", 1)}, list(off), 2);
+            subject.on_incarnation(1, base::seconds{1}, at(0));
+            for (std::uint64_t stream = 0; stream < 200; ++stream) {
+                auto const now = at(static_cast<int>(stream) * 100);
+                subject.offer(request(stream, "kiosk"), now);
+                subject.on_end(stream, stream_end::completed, now);
+            }
+            subject.offer(request(500, "kiosk"), at(20000));
+            CPPUNIT_ASSERT(subject.hint().warm);
+            subject.on_incarnation(1, base::milliseconds{100}, at(20000));
+            CPPUNIT_ASSERT_EQUAL(0U, subject.running());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, subject.held_tokens() + subject.reserved_tokens());
+            CPPUNIT_ASSERT_EQUAL(!off.has_value(), fill(subject, "kiosk", 10) == 2);
         }
-        subject.offer(request(500, "kiosk"), at(20000));
-        CPPUNIT_ASSERT(subject.hint().warm);
-        subject.on_incarnation(1, base::milliseconds{100}, at(20000));
-        CPPUNIT_ASSERT_EQUAL(0U, subject.running());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, subject.held_tokens() + subject.reserved_tokens());
-        CPPUNIT_ASSERT_EQUAL(2U, fill(subject, "kiosk", 10));
     }
 
     // Guards against a goal without effect: a completion class reserves more, so that fewer run at once.
