--- a/Libraries/admission/mechanism.h
+++ b/Libraries/admission/mechanism.h
@@ -12,6 +12,8 @@
     length_reservation,
     /// The catalogue's quantile; without it the median is reserved.
     length_quantile,
+    /// The quantile of the sum of lengths; without it the sum of the quantiles.
+    pooled_spread,
     conditional_tail,
     ageing,
     batch_bound,
@@ -20,7 +22,7 @@
     own_count,
     /// Weighted order between classes; without it the queue is first in, first out.
     fair_queue,
-    /// Memory kept for a class below its share.
+    /// Room kept for a class that is kept out while it is below its share.
     share_guard,
     early_refusal,
     /// Bounds and deadlines of the queue.
