--- a/Development/standin/engine_standin.cpp
+++ b/Development/standin/engine_standin.cpp
@@ -15,6 +15,7 @@
 #include <charconv>
 #include <cmath>
 #include <random>
+#include <tuple>
 #include <utility>
 
 namespace cyclamenledge::standin {
@@ -166,7 +167,7 @@
     using http::beast_http::verb;
     std::string const target{received.target().data(), received.target().size()};
     if (target == "/faults") {
-        co_await client->send(set_faults(received));
+        std::ignore = co_await client->send(set_faults(received));
         co_return;
     }
     co_await stay_silent(client);
@@ -175,21 +176,21 @@
         co_return;
     }
     if (target == "/v1/load") {
-        co_await client->send(answer_load());
+        std::ignore = co_await client->send(answer_load());
     } else if (target == "/v1/orders") {
-        co_await client->send(answer_order(received));
+        std::ignore = co_await client->send(answer_order(received));
     } else if (target == generations_path && received.method() == verb::post) {
         co_await start_generation(client, received);
     } else if (target == generations_path) {
-        co_await client->send(answer_live());
+        std::ignore = co_await client->send(answer_live());
     } else {
         auto const id = target.substr(std::min(target.size(), generations_path.size() + 1));
         auto const plain_id = id.substr(0, id.find('?'));
         auto const found = by_id_.find(plain_id);
         if (received.method() == verb::delete_)
-            co_await client->send(cancel(plain_id));
+            std::ignore = co_await client->send(cancel(plain_id));
         else if (found == by_id_.end())
-            co_await client->send(not_found());
+            std::ignore = co_await client->send(not_found());
         else
             co_await stream(client, found->second, value_after(id, "from="));
     }
@@ -228,7 +229,7 @@
     request.prefix = base::hash_text(std::string_view{prompt}.substr(0, prefix_bytes));
     request.prefix_tokens = std::min<std::uint32_t>(request.prompt_tokens, prefix_bytes / bytes_per_token);
     if (by_id_.contains(item->id) || !engine_->submit(request, base::clock::now())) {
-        co_await client->send(http::make_error_response(
+        std::ignore = co_await client->send(http::make_error_response(
             base::make_error(base::error_kind::overloaded, "the engine cannot take the generation")));
         co_return;
     }
@@ -259,7 +260,7 @@
         if (!lines.empty() && !co_await client->send_chunk(std::move(lines)))
             co_return;
         if (ended) {
-            co_await client->finish_stream();
+            std::ignore = co_await client->finish_stream();
             co_return;
         }
         if (from < source->produced || source->lost)
--- a/Libraries/agent/engine_client.cpp
+++ b/Libraries/agent/engine_client.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <array>
+#include <tuple>
 #include <utility>
 
 namespace cyclamenledge::agent {
@@ -79,7 +80,7 @@
 
 asio::awaitable<void> engine_client::cancel(std::string generation) const {
     auto const message = http::make_request(http::beast_http::verb::delete_, "/v1/generations/" + generation, {});
-    co_await http::exchange(endpoint_, message, status_timeouts, maximum_status_bytes);
+    std::ignore = co_await http::exchange(endpoint_, message, status_timeouts, maximum_status_bytes);
 }
 
 http::awaitable_result<engine_status> engine_client::status() const {
@@ -102,7 +103,7 @@
 }
 
 base::result<engine_line> engine_client::parse_line(std::string const& line) {
-    std::array<unsigned char, 2048> buffer;
+    std::array<unsigned char, 2048> buffer{};
     json::monotonic_resource resource{buffer.data(), buffer.size()};
     boost::system::error_code code;
     auto const parsed = json::parse(line, code, &resource);
--- a/Libraries/agent/run_table.h
+++ b/Libraries/agent/run_table.h
@@ -23,7 +23,8 @@
     struct attempt_name {
         std::uint64_t connection{0};
         std::uint64_t attempt{0};
-        auto operator<=>(attempt_name const&) const = default;
+        auto
+        operator<=>(attempt_name const&) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 misreads it
     };
 
     void insert(generation_run& run, attempt_name attempt);
--- a/Libraries/entry/caller_handler.cpp
+++ b/Libraries/entry/caller_handler.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <memory>
+#include <tuple>
 #include <utility>
 
 namespace cyclamenledge::entry {
@@ -56,15 +57,15 @@
 
 boost::asio::awaitable<void> caller_handler::refuse(http::session_pointer client, base::error reason) {
     daemon_.metrics().add(metrics::counter_kind::answers_refused);
-    co_await client->send(http::make_error_response(reason));
+    std::ignore = co_await client->send(http::make_error_response(reason));
 }
 
 boost::asio::awaitable<void> caller_handler::serve_health(http::session_pointer client, http::request const&) {
-    co_await client->send(process::operator_handler::health(daemon_, role_));
+    std::ignore = co_await client->send(process::operator_handler::health(daemon_, role_));
 }
 
 boost::asio::awaitable<void> caller_handler::serve_readiness(http::session_pointer client, http::request const&) {
-    co_await client->send(process::operator_handler::readiness(daemon_, role_));
+    std::ignore = co_await client->send(process::operator_handler::readiness(daemon_, role_));
 }
 
 base::result<caller> caller_handler::identify(http::request const& received, std::string_view service) const {
--- a/Libraries/entry/generation_session.h
+++ b/Libraries/entry/generation_session.h
@@ -72,6 +72,7 @@
     std::vector<std::string> tried_;
     std::uint32_t attempts_{0};
     base::time_point started_at_;
+    base::time_point attempt_started_at_{};
     base::time_point last_token_at_{};
     bool target_open_{false};
     bool gone_{false};
--- a/Libraries/entry/mailbox.h
+++ b/Libraries/entry/mailbox.h
@@ -2,7 +2,7 @@
 
 #include "base/error.h"
 #include "stream/token_window.h"
-#include "wire/wire_generated.h"
+#include "wire/generated/wire_generated.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -38,8 +38,8 @@
 /// Carries events from links and timers to the session that waits for them. Events may be sent from any thread.
 class mailbox : public boost::intrusive_ref_counter<mailbox> {
 public:
-    explicit mailbox(boost::asio::any_io_executor executor)
-        : channel_(std::move(executor), capacity) {}
+    explicit mailbox(boost::asio::any_io_executor const& executor)
+        : channel_(executor, capacity) {}
 
     /// False when the peer has sent more than flow control allows.
     bool deliver(std::uint64_t attempt, event_content content);
--- a/Libraries/http/line_stream.cpp
+++ b/Libraries/http/line_stream.cpp
@@ -49,7 +49,7 @@
 }
 
 awaitable_result<std::string> line_stream::read_line(base::milliseconds timeout) {
-    std::array<char, read_chunk_bytes> chunk;
+    std::array<char, read_chunk_bytes> chunk{};
     while (true) {
         auto const end = pending_.find('\n', consumed_);
         if (end != std::string::npos) {
--- a/Libraries/http/server.cpp
+++ b/Libraries/http/server.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <tuple>
 #include <utility>
 
 namespace cyclamenledge::http {
@@ -74,7 +75,7 @@
             if (is_input_error(received.error().kind)) {
                 log::write(log::event_kind::caller_input_refused, {{"reason", received.error().message}});
                 client->end_after_answer();
-                co_await client->send(make_error_response(received.error()));
+                std::ignore = co_await client->send(make_error_response(received.error()));
             }
             break;
         }
--- a/Libraries/process/operator_handler.cpp
+++ b/Libraries/process/operator_handler.cpp
@@ -6,6 +6,7 @@
 #include <boost/url/url_view.hpp>
 
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace cyclamenledge::process {
@@ -45,7 +46,7 @@
         if (row.path == path)
             answer = (this->*row.answer)(query);
     }
-    co_await client->send(std::move(answer));
+    std::ignore = co_await client->send(std::move(answer));
 }
 
 http::response operator_handler::health(runtime const&, role const&) {
--- a/Libraries/wire/message_kind.h
+++ b/Libraries/wire/message_kind.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "wire/wire_generated.h"
+#include "wire/generated/wire_generated.h"
 
 #include <cstddef>
 #include <cstdint>
