Route frames of all links through one hub

Cause: configuration, credit and crash notices need the same links as requests, and entries and agents each had their own frame dispatch. Change: link::hub with a handler per message kind and observers; outbound links keep a connection per peer; the roles register what they take. Conclusion: further message kinds cost one registration.

--- a/Libraries/agent/agent_role.cpp
+++ b/Libraries/agent/agent_role.cpp
@@ -1,7 +1,6 @@
 #include "agent/agent_role.h"
 
 #include "admission/admission_controller_builder.h"
-#include "agent/entry_session.h"
 #include "log/logger.h"
 #include "network/endpoint.h"
 
@@ -42,11 +41,7 @@
     , engine_(std::move(target))
     , generations_(daemon, board_, engine_)
     , operators_(daemon, *this)
-    , operator_server_(daemon.context(), {}, operators_)
-    , peer_server_(
-          daemon.context(), daemon.authenticator(), daemon.identity(), daemon.metrics(),
-          [this](link::peer_identity const&) { return link::handler_pointer{new entry_session{generations_}}; },
-          [](link::connection_pointer const&) {}) {}
+    , operator_server_(daemon.context(), {}, operators_) {}
 
 base::result<void> agent_role::apply(catalogue::catalogue_pointer const& published) {
     auto const* self = published->find_target(daemon_.settings().name);
@@ -74,13 +69,12 @@
 
 base::result<void> agent_role::start() {
     BOOST_OUTCOME_TRYV(operator_server_.listen(daemon_.settings().operator_address));
-    BOOST_OUTCOME_TRYV(peer_server_.listen(daemon_.settings().peer_address));
     generations_.start();
-    return base::success();
+    return daemon_.hub().listen(daemon_.settings().peer_address);
 }
 
 void agent_role::stop_accepting() {
-    peer_server_.stop_accepting();
+    daemon_.hub().stop_accepting();
 }
 
 bool agent_role::able_to_serve() const {
--- a/Libraries/agent/agent_role.h
+++ b/Libraries/agent/agent_role.h
@@ -4,7 +4,6 @@
 #include "agent/engine_client.h"
 #include "agent/generation_controller.h"
 #include "http/server.h"
-#include "link/server.h"
 #include "process/operator_handler.h"
 #include "process/role.h"
 #include "process/runtime.h"
@@ -37,7 +36,6 @@
     generation_controller generations_;
     process::operator_handler operators_;
     http::server operator_server_;
-    link::server peer_server_;
 };
 
 } // namespace cyclamenledge::agent
--- a/Libraries/agent/generation_controller.cpp
+++ b/Libraries/agent/generation_controller.cpp
@@ -69,6 +69,15 @@
     , strand_(asio::make_strand(daemon.context())) {}
 
 void generation_controller::start() {
+    auto& hub = daemon_.hub();
+    hub.handle<wire::schema::SubmitGenerationT>(
+        [this](link::connection& source, auto const& message) { submit(source, message); });
+    hub.handle<wire::schema::CancelT>(
+        [this](link::connection& source, auto const& message) { cancel(source, message.attempt); });
+    hub.handle<wire::schema::WindowT>([this](link::connection& source, auto const& message) {
+        acknowledge(source, message.attempt, message.acknowledged);
+    });
+    hub.add_observer(*this);
     asio::co_spawn(strand_, watch_engine(), asio::detached);
     asio::co_spawn(strand_, watch_queue(), asio::detached);
 }
@@ -236,11 +245,15 @@
         run->acknowledge(index);
 }
 
-void generation_controller::on_connection_closed(link::connection const& lost) {
+void generation_controller::on_down(link::connection& lost, base::error const&) {
     for (auto const& run : board_.runs.with([](run_table& table) { return table.all(); }))
         run->detach(lost, resume_grace);
 }
 
+void generation_controller::fill_heartbeat(wire::schema::HeartbeatT& content) {
+    content.load = std::make_unique<wire::schema::LoadHintT>(hint());
+}
+
 void generation_controller::on_token(generation_run& run) {
     daemon_.metrics().add(metrics::counter_kind::tokens);
     board_.admission.with([&](auto& controller) { controller->on_token(run.stream(), 1, base::clock::now()); });
--- a/Libraries/agent/generation_controller.h
+++ b/Libraries/agent/generation_controller.h
@@ -11,17 +11,18 @@
 namespace cyclamenledge::agent {
 
 /// Takes generations from entries, puts them through admission and runs them at the engine.
-class generation_controller : public run_observer {
+class generation_controller : public run_observer, public link::hub_observer {
 public:
     generation_controller(process::runtime& daemon, blackboard& board, engine_client const& engine);
 
-    /// Starts the loops that watch the engine and the queue.
+    /// Registers for frames and starts the loops that watch the engine and the queue.
     void start();
 
     void submit(link::connection& source, wire::schema::SubmitGenerationT const& message);
     void cancel(link::connection const& source, std::uint64_t attempt);
     void acknowledge(link::connection const& source, std::uint64_t attempt, std::uint32_t index);
-    void on_connection_closed(link::connection const& lost);
+    void on_down(link::connection& lost, base::error const& reason) override;
+    void fill_heartbeat(wire::schema::HeartbeatT& content) override;
 
     void on_token(generation_run& run) override;
     void on_end(generation_run& run, admission::stream_end end) override;
--- a/Libraries/entry/caller_handler.h
+++ b/Libraries/entry/caller_handler.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "entry/agent_links.h"
 #include "entry/blackboard.h"
 #include "entry/caller.h"
-#include "entry/link_table.h"
 #include "http/server.h"
 #include "process/role.h"
 #include "process/runtime.h"
@@ -15,7 +15,7 @@
 /// Serves the callers' address: completions, plain services and what the balancer asks.
 class caller_handler : public http::request_handler {
 public:
-    caller_handler(process::runtime& daemon, blackboard& board, link_table& links, process::role& served)
+    caller_handler(process::runtime& daemon, blackboard& board, agent_links& links, process::role& served)
         : daemon_(daemon)
         , board_(board)
         , links_(links)
@@ -42,7 +42,7 @@
 
     process::runtime& daemon_;
     blackboard& board_;
-    link_table& links_;
+    agent_links& links_;
     process::role& role_;
     std::atomic<std::uint64_t> next_request_{1};
 };
--- a/Libraries/entry/entry_role.cpp
+++ b/Libraries/entry/entry_role.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/json/array.hpp>
 
+#include <algorithm>
+
 namespace cyclamenledge::entry {
 
 namespace {
@@ -38,6 +40,7 @@
 base::result<std::unique_ptr<entry_role>> entry_role::create(process::runtime& daemon,
                                                              catalogue::catalogue_pointer published) {
     std::unique_ptr<entry_role> created{new entry_role{daemon}};
+    created->links_.start();
     BOOST_OUTCOME_TRYV(created->apply(published));
     return created;
 }
@@ -72,19 +75,20 @@
 
 base::result<void> entry_role::start() {
     BOOST_OUTCOME_TRYV(operator_server_.listen(daemon_.settings().operator_address));
+    BOOST_OUTCOME_TRYV(daemon_.hub().listen(daemon_.settings().peer_address));
     return caller_server_.listen(daemon_.settings().caller_address);
 }
 
 void entry_role::stop_accepting() {
     caller_server_.stop_accepting();
+    daemon_.hub().stop_accepting();
 }
 
 bool entry_role::able_to_serve() const {
-    for (auto const& link : links_.all()) {
-        if (link->ready_connection())
-            return true;
-    }
-    return false;
+    return board_.routing.with([](routing_state& state) {
+        auto const& targets = state.targets->targets();
+        return std::ranges::any_of(targets, &routing::target_state::link_up);
+    });
 }
 
 boost::json::object entry_role::state() const {
--- a/Libraries/entry/entry_role.h
+++ b/Libraries/entry/entry_role.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "entry/agent_links.h"
 #include "entry/blackboard.h"
 #include "entry/caller_handler.h"
-#include "entry/link_table.h"
 #include "http/server.h"
 #include "process/operator_handler.h"
 #include "process/role.h"
@@ -31,7 +31,7 @@
 
     process::runtime& daemon_;
     mutable blackboard board_;
-    link_table links_;
+    agent_links links_;
     caller_handler callers_;
     http::server caller_server_;
     process::operator_handler operators_;
--- a/Libraries/entry/generation_session.cpp
+++ b/Libraries/entry/generation_session.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-generation_session::generation_session(process::runtime& daemon, blackboard& board, link_table& links, caller from,
+generation_session::generation_session(process::runtime& daemon, blackboard& board, agent_links& links, caller from,
                                        completion_request request, std::unique_ptr<completion_writer> writer,
                                        asio::any_io_executor executor)
     : daemon_(daemon)
@@ -111,8 +111,7 @@
         co_return co_await fail(base::make_error(*decision.refusal, "no target can take the request", no_target_retry));
     tried_.push_back(target_);
     ++attempts_;
-    auto const agent = links_.find(target_);
-    auto const connection = agent ? agent->ready_connection() : nullptr;
+    auto const connection = links_.find(target_);
     if (!connection) {
         report(routing::attempt_outcome::failure);
         co_return step::next_target;
@@ -127,8 +126,7 @@
     asio::steady_timer timer{executor_};
     link::connection_pointer connection;
     while (!connection && !gone_ && !caller_expired() && base::clock::now() < patience_ends) {
-        auto const agent = links_.find(target_);
-        connection = agent ? agent->ready_connection() : nullptr;
+        connection = links_.find(target_);
         if (connection)
             break;
         timer.expires_after(resume_poll);
--- a/Libraries/entry/generation_session.h
+++ b/Libraries/entry/generation_session.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "entry/agent_links.h"
 #include "entry/attempt.h"
 #include "entry/blackboard.h"
 #include "entry/caller.h"
 #include "entry/completion_request.h"
 #include "entry/completion_writer.h"
-#include "entry/link_table.h"
 #include "process/runtime.h"
 #include "stream/token_sequencer.h"
 
@@ -21,7 +21,7 @@
 /// Leads one generation from a caller's request to its end over as many attempts as it may take.
 class generation_session {
 public:
-    generation_session(process::runtime& daemon, blackboard& board, link_table& links, caller from,
+    generation_session(process::runtime& daemon, blackboard& board, agent_links& links, caller from,
                        completion_request request, std::unique_ptr<completion_writer> writer,
                        boost::asio::any_io_executor executor);
 
@@ -59,7 +59,7 @@
 
     process::runtime& daemon_;
     blackboard& board_;
-    link_table& links_;
+    agent_links& links_;
     caller caller_;
     completion_request request_;
     std::unique_ptr<completion_writer> writer_;
--- /dev/null
+++ b/Libraries/link/hub_observer.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "base/error.h"
+#include "wire/frame.h"
+
+namespace cyclamenledge::link {
+
+class connection;
+
+/// Follows the connections of a hub. Called on the executor of the connection, without locks.
+class hub_observer {
+public:
+    hub_observer() = default;
+    hub_observer(hub_observer const&) = delete;
+    hub_observer& operator=(hub_observer const&) = delete;
+    virtual ~hub_observer() = default;
+
+    virtual void on_up(connection&) {}
+    virtual void on_heartbeat(connection&, wire::schema::HeartbeatT const&) {}
+    virtual void on_down(connection&, base::error const&) {}
+    /// Adds what this part of the process has to tell in the next heartbeat.
+    virtual void fill_heartbeat(wire::schema::HeartbeatT&) {}
+};
+
+} // namespace cyclamenledge::link
--- /dev/null
+++ b/Libraries/link/hub_session.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "link/connection_handler.h"
+#include "link/hub.h"
+
+namespace cyclamenledge::link {
+
+/// Passes the events of a connection on to the hub.
+class hub_session : public connection_handler {
+public:
+    explicit hub_session(hub& owner)
+        : hub_(owner) {}
+
+    void on_ready(connection& source) override;
+    void on_frame(connection& source, wire::frame const& received) override { hub_.on_frame(source, received); }
+    void on_heartbeat(connection& source, wire::schema::HeartbeatT const& heartbeat) override {
+        hub_.on_heartbeat(source, heartbeat);
+    }
+    wire::schema::HeartbeatT heartbeat_content() override { return hub_.heartbeat_content(); }
+    /// A silent connection is closed at once: its streams resume on a fresh one.
+    void on_suspect(connection& source, membership::link_fault fault) override;
+    void on_closed(connection& source, base::error const& reason) override;
+
+protected:
+    hub& owner() { return hub_; }
+
+private:
+    hub& hub_;
+};
+
+} // namespace cyclamenledge::link
--- a/Libraries/process/runtime.cpp
+++ b/Libraries/process/runtime.cpp
@@ -48,6 +48,7 @@
                 settings_.failure_domain}
     , started_wall_(std::chrono::floor<base::milliseconds>(std::chrono::system_clock::now()))
     , context_(static_cast<int>(settings_.threads))
+    , hub_(context_, authenticator_, identity_, metrics_)
     , signals_(context_, SIGTERM, SIGINT)
     , drain_(drain_settings_of(settings_)) {}
 
--- a/Libraries/process/runtime.h
+++ b/Libraries/process/runtime.h
@@ -2,6 +2,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "link/hub.h"
 #include "link/peer_identity.h"
 #include "membership/drain_controller.h"
 #include "metrics/registry.h"
@@ -29,6 +30,8 @@
     link::peer_identity const& identity() const { return identity_; }
     wire::authenticator const& authenticator() const { return authenticator_; }
     metrics::registry& metrics() { return metrics_; }
+    /// The connections to other processes.
+    link::hub& hub() { return hub_; }
     base::time_point started_at() const { return started_at_; }
     base::wall_time started_wall() const { return started_wall_; }
 
@@ -55,6 +58,7 @@
     base::time_point started_at_{base::clock::now()};
     base::wall_time started_wall_;
     boost::asio::io_context context_;
+    link::hub hub_;
     boost::asio::signal_set signals_;
     // Leaf lock: no other lock is taken while it is held.
     mutable std::mutex drain_mutex_;
