Complete test catalogues in one shared fixture

Cause: catalogue_builder::build() validates completely, and the fixtures of limits, membership, orders and routing built catalogues without owners, VMs, addresses, digests, placements, targets or other required items.

Change: Tests/support/catalogue_fixture.h fills the members that a test leaves empty and adds the items that others need. Values that a test sets are kept, so invalid ones still fail. The four fixtures use it.

Conclusion: the fixtures satisfy the validation of build().

--- a/Tests/limits/credit_world.h
+++ b/Tests/limits/credit_world.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "base/random.h"
-#include "catalogue/catalogue_builder.h"
 #include "limits/credit_issuer.h"
 #include "limits/home_entry.h"
 #include "limits/organisation_limiter.h"
+#include "support/catalogue_fixture.h"
 
 #include <algorithm>
 #include <deque>
@@ -32,16 +32,16 @@
 
 inline catalogue::catalogue_pointer publish(std::vector<catalogue::organisation> const& organisations,
                                             std::size_t entries, std::string_view without = "") {
-    catalogue::catalogue_builder builder;
+    catalogue_fixture fixture;
     for (auto const& item : organisations)
-        builder.add(item);
+        fixture.add(item);
     for (std::size_t i = 0; i < entries; ++i) {
         catalogue::entry item;
         item.name = "entry-" + std::to_string(i);
         if (item.name != without)
-            builder.add(item);
+            fixture.add(item);
     }
-    return builder.build().value();
+    return fixture.build();
 }
 
 /// Entries with both sides of the limits, and a network that delays, loses and cuts messages. Time moves in 10 ms.
--- a/Tests/membership/membership_test.cpp
+++ b/Tests/membership/membership_test.cpp
@@ -1,8 +1,8 @@
 #include "base/random.h"
-#include "catalogue/catalogue_builder.h"
 #include "membership/drain_controller.h"
 #include "membership/link_monitor.h"
 #include "membership/member_table.h"
+#include "support/catalogue_fixture.h"
 #include "support/property.h"
 #include "support/table_test.h"
 
@@ -69,9 +69,9 @@
 
 /// Two regions with two failure domains and four targets.
 catalogue::catalogue_pointer make_catalogue(catalogue::service_state target, catalogue::service_state domain) {
-    catalogue::catalogue_builder builder;
-    builder.add(catalogue::failure_domain{"suva-a", "Viti Levu", domain});
-    builder.add(catalogue::failure_domain{"labasa-a", "Vanua Levu"});
+    catalogue_fixture fixture;
+    fixture.add(catalogue::failure_domain{"suva-a", "Viti Levu", domain});
+    fixture.add(catalogue::failure_domain{"labasa-a", "Vanua Levu"});
     for (char const* name : {"t0", "t1", "t2", "t3"}) {
         catalogue::target item;
         item.name = name;
@@ -79,10 +79,10 @@
         item.failure_domain = name[1] == '0' ? "suva-a" : "labasa-a";
         item.vm = std::string{"vm-"} + name;
         item.state = name[1] == '0' ? target : catalogue::service_state::in_service;
-        builder.add(item);
+        fixture.add(item);
     }
-    builder.add(catalogue::entry{"e0", "labasa-a", "vm-e0", ""});
-    return builder.build().value();
+    fixture.add(catalogue::entry{"e0", "labasa-a", "vm-e0", ""});
+    return fixture.build();
 }
 
 constexpr auto in_service = catalogue::service_state::in_service;
--- a/Tests/orders/orders_test.cpp
+++ b/Tests/orders/orders_test.cpp
@@ -1,8 +1,8 @@
 #include "base/random.h"
-#include "catalogue/catalogue_builder.h"
 #include "orders/fencing.h"
 #include "orders/load_pacer.h"
 #include "orders/placement.h"
+#include "support/catalogue_fixture.h"
 #include "support/property.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -35,20 +35,19 @@
     auto const count = 2 + random.below(11);
     std::vector<catalogue::catalogue_pointer> revisions;
     for (std::uint64_t revision = 1; revision <= versions.size(); ++revision) {
-        catalogue::catalogue_builder builder;
-        builder.revision(revision).add(catalogue::failure_domain{"suva-a", "Viti Levu"});
+        catalogue_fixture fixture;
+        fixture.revision(revision);
         catalogue::service service;
         service.name = "wording";
         service.placement = {"lantern", versions[revision - 1], {}, minimum_warm};
-        builder.add(service);
+        fixture.add(service);
         for (std::uint64_t index = 0; index < count; ++index) {
             catalogue::target target;
             target.name = "t" + std::to_string(index);
             target.service = "wording";
-            target.failure_domain = "suva-a";
-            builder.add(target);
+            fixture.add(target);
         }
-        revisions.push_back(builder.build().value());
+        revisions.push_back(fixture.build());
     }
     std::vector<placement> agents;
     std::vector<target_report> truth;
--- a/Tests/routing/fleet.h
+++ b/Tests/routing/fleet.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "catalogue/catalogue_builder.h"
+#include "support/catalogue_fixture.h"
 
 #include <cstddef>
 #include <string>
@@ -26,13 +26,13 @@
 }
 
 inline catalogue::catalogue_pointer make_catalogue(fleet const& size) {
-    catalogue::catalogue_builder builder;
+    catalogue_fixture fixture;
     for (std::size_t i = 0; i < size.failure_domains; ++i)
-        builder.add(catalogue::failure_domain{numbered("domain-", i), numbered("region-", i % size.regions)});
+        fixture.add(catalogue::failure_domain{numbered("domain-", i), numbered("region-", i % size.regions)});
     for (std::size_t i = 0; i < size.services; ++i) {
         catalogue::service item;
         item.name = numbered("service-", i);
-        builder.add(item);
+        fixture.add(item);
     }
     for (std::size_t i = 0; i < size.targets; ++i) {
         catalogue::target item;
@@ -42,22 +42,22 @@
         item.state = i == size.target_out_of_service ? catalogue::service_state::out_of_service
                                                      : catalogue::service_state::in_service;
         if (i != size.missing_target)
-            builder.add(item);
+            fixture.add(item);
     }
     for (std::size_t i = 0; i < size.entries; ++i) {
         catalogue::entry item;
         item.name = numbered("entry-", i);
         item.failure_domain = numbered("domain-", i % size.failure_domains);
         if (i != size.missing_entry)
-            builder.add(item);
+            fixture.add(item);
     }
     for (std::size_t i = 0; i < size.organisations; ++i) {
         catalogue::organisation item;
         item.name = numbered("organisation-", i);
         item.limits = {100, 50, 10000};
-        builder.add(item);
+        fixture.add(item);
     }
-    return builder.build().value();
+    return fixture.build();
 }
 
 } // namespace cyclamenledge::tests
