Carry plain services through entry and agent

Cause: plain services had a decision library for keys and frames on the wire, but no path from a caller to a target.

Change: entries serve /v1/services/<service>/<path> and /v1/idempotency-keys. Idempotent calls use the target table with retries and one hedge; keyed calls go to the published owner of the key and are queried, never sent again, after a loss. Agents choose their parts by the kind of the service; call_controller runs calls under the key table and asks earlier owners over the hub. key_table gains withdraw (a call that provably was not sent seals its key), answer_of, counts and recovery_end. A service stand-in counts executions by key.

--- a/Development/standin/standin_table.cpp
+++ b/Development/standin/standin_table.cpp
@@ -1,4 +1,5 @@
 #include "engine_standin.h"
+#include "service_standin.h"
 #include "standin.h"
 
 namespace cyclamenledge::standin {
@@ -6,6 +7,7 @@
 std::vector<std::unique_ptr<standin>> make_standins() {
     std::vector<std::unique_ptr<standin>> result;
     result.push_back(std::make_unique<engine_standin>());
+    result.push_back(std::make_unique<service_standin>());
     return result;
 }
 
--- a/Libraries/agent/agent_role.cpp
+++ b/Libraries/agent/agent_role.cpp
@@ -1,66 +1,59 @@
 #include "agent/agent_role.h"
 
-#include "admission/admission_controller_builder.h"
+#include "agent/engine_part.h"
+#include "agent/plain_part.h"
 #include "log/logger.h"
 #include "network/endpoint.h"
 
-#include <boost/json/array.hpp>
-
+#include <array>
 #include <utility>
 
 namespace cyclamenledge::agent {
 
 namespace {
 
-admission::target_limits limits_of(catalogue::target const& target) {
-    return {target.memory_tokens, target.maximum_running, target.warmup_floor};
+using part_factory = std::unique_ptr<target_part> (*)(process::runtime&, blackboard&, boost::asio::ip::tcp::endpoint);
+
+template <class Part>
+std::unique_ptr<target_part> make_part(process::runtime& daemon, blackboard& board,
+                                       boost::asio::ip::tcp::endpoint target) {
+    return std::make_unique<Part>(daemon, board, std::move(target));
 }
 
-boost::json::object dump_class(admission::class_snapshot const& item) {
-    return {{"class", item.name},
-            {"running", item.running},
-            {"queued", item.queued},
-            {"batch_bound", item.batch_bound},
-            {"reserved_tokens", item.reserved_tokens},
-            {"admitted", item.admitted},
-            {"refused", item.refused}};
+// In the order of catalogue::service_kind.
+constexpr std::array<part_factory, 2> part_factories{&make_part<engine_part>, &make_part<plain_part>};
+
+base::result<catalogue::target const*> own_target(process::runtime const& daemon,
+                                                  catalogue::catalogue const& published) {
+    auto const& name = daemon.settings().name;
+    auto const* self = published.find_target(name);
+    if (self == nullptr) {
+        return base::make_error(base::error_kind::invalid_configuration, "the catalogue has no target named " + name);
+    }
+    return self;
 }
 
 } // namespace
 
 base::result<std::unique_ptr<agent_role>> agent_role::create(process::runtime& daemon,
                                                              catalogue::catalogue_pointer published) {
-    BOOST_OUTCOME_TRY(auto const target, network::parse_endpoint(daemon.settings().target_address));
-    std::unique_ptr<agent_role> created{new agent_role{daemon, target}};
+    BOOST_OUTCOME_TRY(auto const endpoint, network::parse_endpoint(daemon.settings().target_address));
+    BOOST_OUTCOME_TRY(auto const* self, own_target(daemon, *published));
+    auto const kind = published->find_service(self->service)->kind;
+    std::unique_ptr<agent_role> created{new agent_role{daemon}};
+    created->part_ = part_factories.at(static_cast<std::size_t>(kind))(daemon, created->board_, endpoint);
     BOOST_OUTCOME_TRYV(created->apply(published));
     return created;
 }
 
-agent_role::agent_role(process::runtime& daemon, boost::asio::ip::tcp::endpoint target)
+agent_role::agent_role(process::runtime& daemon)
     : daemon_(daemon)
-    , engine_(std::move(target))
-    , generations_(daemon, board_, engine_)
     , operators_(daemon, *this)
     , operator_server_(daemon.context(), {}, operators_) {}
 
 base::result<void> agent_role::apply(catalogue::catalogue_pointer const& published) {
-    auto const* self = published->find_target(daemon_.settings().name);
-    if (self == nullptr) {
-        return base::make_error(base::error_kind::invalid_configuration,
-                                "the catalogue has no target named " + daemon_.settings().name);
-    }
-    auto const* service = published->find_service(self->service);
-    admission::admission_controller_builder builder;
-    builder.limits(limits_of(*self))
-        .classes(published->service_classes())
-        .default_length(service->default_output_tokens);
-    BOOST_OUTCOME_TRY(auto controller, builder.build(base::clock::now()));
-    board_.admission.with([&](auto& slot) {
-        if (slot)
-            slot->apply(published->service_classes());
-        else
-            slot.emplace(std::move(controller));
-    });
+    BOOST_OUTCOME_TRY(auto const* self, own_target(daemon_, *published));
+    BOOST_OUTCOME_TRYV(part_->apply(published, *self));
     board_.target.with([&](target_view& view) { view.catalogue = published; });
     daemon_.metrics().add(metrics::counter_kind::configuration_applied);
     log::write(log::event_kind::configuration_applied, {{"revision", published->revision()}});
@@ -69,7 +62,7 @@
 
 base::result<void> agent_role::start() {
     BOOST_OUTCOME_TRYV(operator_server_.listen(daemon_.settings().operator_address));
-    generations_.start();
+    part_->start();
     return daemon_.hub().listen(daemon_.settings().peer_address);
 }
 
@@ -82,29 +75,13 @@
 }
 
 boost::json::object agent_role::state() const {
-    auto const snapshot = board_.admission.with([](auto& slot) { return slot->snapshot(base::clock::now()); });
     auto const view = board_.target.with([](target_view const& current) { return current; });
-    boost::json::array classes;
-    for (auto const& item : snapshot.classes)
-        classes.emplace_back(dump_class(item));
-
     boost::json::object dump;
     dump["role"] = "agent";
     dump["revision"] = view.catalogue->revision();
     dump["target"] = {
         {"reachable", view.reachable}, {"incarnation", view.incarnation}, {"preemptions", view.preemptions}};
-    dump["admission"] = {{"running", snapshot.hint.running},
-                         {"queued", snapshot.hint.queued},
-                         {"warmup_bound", snapshot.hint.warmup_bound},
-                         {"warm", snapshot.hint.warm},
-                         {"held_tokens", snapshot.held_tokens},
-                         {"reserved_tokens", snapshot.reserved_tokens},
-                         {"memory_tokens", snapshot.memory_tokens},
-                         {"unexplained_tokens", snapshot.unexplained_tokens},
-                         {"ends_per_second", snapshot.ends_per_second},
-                         {"histograms", snapshot.histograms}};
-    dump["classes"] = std::move(classes);
-    dump["runs"] = board_.runs.with([](run_table const& table) { return table.size(); });
+    part_->dump(dump);
     return dump;
 }
 
--- a/Libraries/agent/agent_role.h
+++ b/Libraries/agent/agent_role.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "agent/blackboard.h"
-#include "agent/engine_client.h"
-#include "agent/generation_controller.h"
+#include "agent/target_part.h"
 #include "http/server.h"
 #include "process/operator_handler.h"
 #include "process/role.h"
@@ -25,15 +24,14 @@
     base::result<boost::json::object> explain(std::string_view organisation, std::string_view service) const override;
 
 private:
-    agent_role(process::runtime& daemon, boost::asio::ip::tcp::endpoint target);
+    explicit agent_role(process::runtime& daemon);
 
     base::result<void> apply(catalogue::catalogue_pointer const& published);
 
     process::runtime& daemon_;
     // Mutable because a snapshot of admission brings its sums up to date.
     mutable blackboard board_;
-    engine_client engine_;
-    generation_controller generations_;
+    std::unique_ptr<target_part> part_;
     process::operator_handler operators_;
     http::server operator_server_;
 };
--- a/Libraries/agent/blackboard.h
+++ b/Libraries/agent/blackboard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/admission_controller.h"
+#include "agent/call_table.h"
 #include "agent/run_table.h"
 #include "base/guarded.h"
 #include "catalogue/catalogue.h"
@@ -21,6 +22,7 @@
 struct blackboard {
     base::guarded<target_view, base::lock_rank::configuration> target;
     base::guarded<std::optional<admission::admission_controller>, base::lock_rank::admission> admission;
+    base::guarded<call_table, base::lock_rank::keys> calls;
     base::guarded<run_table, base::lock_rank::streams> runs;
 };
 
--- a/Libraries/entry/agent_links.cpp
+++ b/Libraries/entry/agent_links.cpp
@@ -2,11 +2,65 @@
 
 #include "log/logger.h"
 
+#include <algorithm>
+#include <memory>
 #include <utility>
 #include <vector>
 
 namespace cyclamenledge::entry {
 
+namespace {
+
+// Well below the bound of a frame, so that one more answer of a call still fits.
+constexpr std::size_t remembered_bytes_per_frame = 64UL * 1024;
+// Answers that are larger than this would not fit into a frame beside their envelope.
+constexpr std::size_t largest_remembered_answer = 900UL * 1024;
+
+std::unique_ptr<wire::schema::RememberedKeyT> to_message(once::remembered_key key) {
+    // The three parts are separated by line feeds, see tracked_key.
+    auto const service_end = key.scoped.find('\n');
+    auto const organisation_end = key.scoped.find('\n', service_end + 1);
+    auto message = std::make_unique<wire::schema::RememberedKeyT>();
+    message->service = key.scoped.substr(0, service_end);
+    message->organisation = key.scoped.substr(service_end + 1, organisation_end - service_end - 1);
+    message->key = key.scoped.substr(organisation_end + 1);
+    message->fingerprint = key.body_fingerprint;
+    bool const fits = key.answer.body.size() <= largest_remembered_answer;
+    message->state = static_cast<std::uint8_t>(fits ? key.outcome : once::key_state::unknown);
+    if (fits && key.outcome == once::key_state::done) {
+        message->status = key.answer.status;
+        message->content_type = std::move(key.answer.content_type);
+        message->body.assign(key.answer.body.begin(), key.answer.body.end());
+    }
+    return message;
+}
+
+/// Key owners from the set in force on; earlier ones are asked by the agents.
+void add_key_owners(catalogue::catalogue const& published, std::map<std::string, std::string>& wanted) {
+    auto const now = std::chrono::floor<base::milliseconds>(std::chrono::system_clock::now());
+    for (auto const& service : published.services()) {
+        auto const& sets = service.key_owners;
+        auto first = std::ranges::find_if(sets, [&](auto const& item) { return item.from > now; });
+        if (first != sets.begin())
+            --first;
+        for (; first != sets.end(); ++first) {
+            for (auto const& name : first->targets) {
+                if (auto const* target = published.find_target(name); target != nullptr)
+                    wanted.emplace(name, target->agent_address);
+            }
+        }
+    }
+}
+
+} // namespace
+
+std::string tracked_key(std::string_view service, std::string_view organisation, once::idempotency_key const& key) {
+    std::string tracked{service};
+    tracked += '\n';
+    tracked += once::scoped_key(organisation, key);
+    return tracked;
+}
+
 agent_links::agent_links(process::runtime& daemon, blackboard& board)
     : daemon_(daemon)
     , board_(board) {}
@@ -17,6 +71,7 @@
     register_answer<wire::schema::TokensT>();
     register_answer<wire::schema::GenerationEndT>();
     register_answer<wire::schema::CallAnswerT>();
+    register_answer<wire::schema::KeyStateT>();
     daemon_.hub().add_observer(*this);
 }
 
@@ -55,6 +110,7 @@
                 wanted.emplace(item->name, item->agent_address);
         }
     });
+    add_key_owners(published, wanted);
     std::vector<std::string> ended;
     {
         std::scoped_lock const lock{mutex_};
@@ -70,7 +126,40 @@
         daemon_.hub().connect(target, address);
 }
 
+link::connection_pointer agent_links::find_informed(std::string_view target) const {
+    auto connection = find(target);
+    std::scoped_lock const lock{mutex_};
+    return connection && informed_.contains(connection->number()) ? connection : nullptr;
+}
+
+void agent_links::send_remembered(link::connection& target) {
+    auto remembered = board_.calls.with([&](once::call_tracker const& tracker) {
+        return tracker.remembered_for(target.peer().process, target.peer().incarnation);
+    });
+    wire::schema::RememberedKeysT message;
+    std::size_t bytes = 0;
+    auto const flush = [&] {
+        if (!message.keys.empty())
+            target.send(message);
+        message.keys.clear();
+        bytes = 0;
+    };
+    for (auto& key : remembered) {
+        auto const size = key.scoped.size() + key.answer.body.size();
+        if (bytes + size > remembered_bytes_per_frame)
+            flush();
+        bytes += size;
+        message.keys.push_back(to_message(std::move(key)));
+    }
+    flush();
+}
+
 void agent_links::on_up(link::connection& source) {
+    send_remembered(source);
+    {
+        std::scoped_lock const lock{mutex_};
+        informed_.insert(source.number());
+    }
     board_.routing.with(
         [&](routing_state& state) { state.targets->set_link(source.peer().process, true, base::clock::now()); });
 }
@@ -89,6 +178,10 @@
 }
 
 void agent_links::on_down(link::connection& source, base::error const& reason) {
+    {
+        std::scoped_lock const lock{mutex_};
+        informed_.erase(source.number());
+    }
     // With a fresh connection in place already, the target stays linked.
     if (!daemon_.hub().find(source.peer().process)) {
         board_.routing.with(
--- a/Libraries/entry/agent_links.h
+++ b/Libraries/entry/agent_links.h
@@ -6,10 +6,14 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 
 namespace cyclamenledge::entry {
 
+/// The name of a key in the entry's tracker, which holds the keys of all services.
+std::string tracked_key(std::string_view service, std::string_view organisation, once::idempotency_key const& key);
+
 /// The entry's links to agents: which ones it keeps, what they say about their targets, and which attempt an answer
 /// belongs to.
 class agent_links : public link::hub_observer {
@@ -23,6 +27,9 @@
     /// The connection to a target's agent that requests may use now, or null.
     link::connection_pointer find(std::string_view target) const { return daemon_.hub().find(target); }
 
+    /// The same, once the agent has received the keys that were sent to its earlier incarnations.
+    link::connection_pointer find_informed(std::string_view target) const;
+
     void on_up(link::connection& source) override;
     void on_heartbeat(link::connection& source, wire::schema::HeartbeatT const& heartbeat) override;
     void on_down(link::connection& source, base::error const& reason) override;
@@ -32,14 +39,17 @@
     void register_answer();
     template <class Message>
     void pass_on(link::connection& source, Message message);
+    void send_remembered(link::connection& target);
     void update_hint(std::string const& target, wire::schema::LoadHintT const& hint);
 
     process::runtime& daemon_;
     blackboard& board_;
     // Leaf lock: no other lock is taken while it is held.
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     /// Address of the agent of each linked target.
     std::map<std::string, std::string> linked_;
+    /// Numbers of the connections over which the remembered keys were sent.
+    std::set<std::uint64_t> informed_;
 };
 
 } // namespace cyclamenledge::entry
--- a/Libraries/entry/caller_handler.cpp
+++ b/Libraries/entry/caller_handler.cpp
@@ -1,7 +1,11 @@
 #include "entry/caller_handler.h"
 
 #include "base/digest.h"
+#include "entry/call_session.h"
 #include "entry/generation_session.h"
+#include "entry/key_inquiry.h"
+#include "entry/keyed_call_session.h"
+#include "once/caller_refusal.h"
 #include "process/operator_handler.h"
 
 #include <algorithm>
@@ -19,6 +23,8 @@
 constexpr std::string_view priority_header = "X-Request-Priority";
 constexpr std::uint32_t maximum_deadline_ms = 24U * 3600 * 1000;
 constexpr base::milliseconds leaving_retry{1000};
+constexpr std::string_view keys_prefix = "/v1/idempotency-keys/";
+constexpr unsigned status_created = 201;
 
 base::result<std::optional<std::uint32_t>> number_header(http::request const& received, std::string_view name) {
     auto const text = http::header_value(received, name);
@@ -36,6 +42,9 @@
 std::span<caller_handler::route_row const> caller_handler::routes() {
     static constexpr route_row rows[] = {
         {"/v1/completions", path_match::exact, &caller_handler::serve_completion},
+        {"/v1/services/", path_match::prefix, &caller_handler::serve_call},
+        {"/v1/idempotency-keys", path_match::exact, &caller_handler::serve_key_issue},
+        {"/v1/idempotency-keys/", path_match::prefix, &caller_handler::serve_key_inquiry},
         {"/healthz", path_match::exact, &caller_handler::serve_health},
         {"/readyz", path_match::exact, &caller_handler::serve_readiness},
     };
@@ -130,4 +139,84 @@
     co_await session->run();
 }
 
+base::result<caller> caller_handler::identify_for_plain(http::request const& received, std::string_view service) const {
+    BOOST_OUTCOME_TRY(auto from, identify(received, service));
+    if (from.service->kind != catalogue::service_kind::plain)
+        return base::make_error(base::error_kind::bad_request, "this service generates text");
+    return from;
+}
+
+boost::asio::awaitable<void> caller_handler::serve_call(http::session_pointer client, http::request const& received) {
+    daemon_.metrics().add(metrics::counter_kind::requests);
+    auto const path = parse_service_path({received.target().data(), received.target().size()});
+    if (!path) {
+        co_await refuse(client, path.error());
+        co_return;
+    }
+    auto from = identify_for_plain(received, path.value().service);
+    if (!from) {
+        co_await refuse(client, from.error());
+        co_return;
+    }
+    auto call = make_plain_call(*from.value().service, path.value().path, received);
+    if (!call) {
+        co_await refuse(client, call.error());
+        co_return;
+    }
+    bool const keyed = call.value().key.has_value();
+    if (!daemon_.begin_request()) {
+        client->end_after_answer();
+        auto const reason = base::make_error(base::error_kind::leaving, "this process is stopping", leaving_retry);
+        co_await refuse(client, keyed ? once::caller_refusal(reason) : reason);
+        co_return;
+    }
+    process::request_guard const guard{daemon_};
+    std::shared_ptr<call_exchange> session;
+    if (keyed)
+        session = std::make_shared<keyed_call_session>(daemon_, board_, links_, std::move(from).value(),
+                                                       std::move(call).value(), client);
+    else
+        session = std::make_shared<call_session>(daemon_, board_, links_, std::move(from).value(),
+                                                 std::move(call).value(), client);
+    client->watch_for_close([session] { session->on_caller_gone(); });
+    co_await session->run();
+}
+
+boost::asio::awaitable<void> caller_handler::serve_key_issue(http::session_pointer client,
+                                                             http::request const& received) {
+    if (received.method() != http::beast_http::verb::post) {
+        co_await refuse(client, base::make_error(base::error_kind::bad_request, "keys are issued by POST"));
+        co_return;
+    }
+    auto const now = std::chrono::floor<base::milliseconds>(std::chrono::system_clock::now());
+    std::string body;
+    {
+        std::scoped_lock const lock{random_mutex_};
+        body = R"({"key":")" + once::idempotency_key::issue(now, random_).text() + "\"}\n";
+    }
+    std::ignore = co_await client->send(http::make_response(status_created, "application/json", std::move(body)));
+}
+
+boost::asio::awaitable<void> caller_handler::serve_key_inquiry(http::session_pointer client,
+                                                               http::request const& received) {
+    std::string_view path{received.target().data(), received.target().size()};
+    path = path.substr(keys_prefix.size());
+    auto const separator = std::min(path.find('/'), path.size());
+    auto from = identify_for_plain(received, path.substr(0, separator));
+    if (from && received.method() != http::beast_http::verb::get)
+        from = base::make_error(base::error_kind::bad_request, "the outcome of a key is read by GET");
+    if (!from) {
+        co_await refuse(client, from.error());
+        co_return;
+    }
+    auto key = once::idempotency_key::parse(path.substr(std::min(separator + 1, path.size())));
+    if (!key) {
+        co_await refuse(client, key.error());
+        co_return;
+    }
+    auto const inquiry = std::make_shared<key_inquiry>(board_, links_, std::move(from).value(), std::move(key).value(),
+                                                       client->executor());
+    std::ignore = co_await client->send(co_await inquiry->run());
+}
+
 } // namespace cyclamenledge::entry
--- a/Libraries/entry/caller_handler.h
+++ b/Libraries/entry/caller_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/random.h"
 #include "entry/agent_links.h"
 #include "entry/blackboard.h"
 #include "entry/caller.h"
@@ -8,6 +9,7 @@
 #include "process/runtime.h"
 
 #include <atomic>
+#include <mutex>
 #include <span>
 
 namespace cyclamenledge::entry {
@@ -36,8 +38,13 @@
     boost::asio::awaitable<void> serve_health(http::session_pointer client, http::request const& received);
     boost::asio::awaitable<void> serve_readiness(http::session_pointer client, http::request const& received);
     boost::asio::awaitable<void> serve_completion(http::session_pointer client, http::request const& received);
+    boost::asio::awaitable<void> serve_call(http::session_pointer client, http::request const& received);
+    boost::asio::awaitable<void> serve_key_issue(http::session_pointer client, http::request const& received);
+    boost::asio::awaitable<void> serve_key_inquiry(http::session_pointer client, http::request const& received);
     boost::asio::awaitable<void> refuse(http::session_pointer client, base::error reason);
 
+    /// The caller of a plain service.
+    base::result<caller> identify_for_plain(http::request const& received, std::string_view service) const;
     base::result<caller> identify(http::request const& received, std::string_view service) const;
 
     process::runtime& daemon_;
@@ -45,6 +52,9 @@
     agent_links& links_;
     process::role& role_;
     std::atomic<std::uint64_t> next_request_{1};
+    // Leaf lock: no other lock is taken while it is held.
+    std::mutex random_mutex_;
+    base::random_source random_{base::random_seed()};
 };
 
 } // namespace cyclamenledge::entry
--- a/Libraries/http/client.cpp
+++ b/Libraries/http/client.cpp
@@ -37,13 +37,18 @@
 }
 
 asio::awaitable<client_result<response>> exchange(asio::ip::tcp::endpoint endpoint, request message,
-                                                  client_timeouts timeouts, std::size_t maximum_body_bytes) {
+                                                  client_timeouts timeouts, std::size_t maximum_body_bytes,
+                                                  send_permission may_send) {
     beast::tcp_stream stream{co_await asio::this_coro::executor};
     stream.expires_after(timeouts.connect);
     auto [connect_code] = co_await stream.async_connect(endpoint, use_tuple);
     if (connect_code)
         co_return make_client_error(request_progress::not_sent, connect_code);
 
+    if (may_send) {
+        if (auto const allowed = may_send(); !allowed)
+            co_return client_error{request_progress::not_sent, allowed.error()};
+    }
     stream.expires_after(timeouts.answer);
     auto [write_code, written] = co_await beast_http::async_write(stream, message, use_tuple);
     if (write_code)
@@ -51,6 +56,7 @@
     beast::flat_buffer buffer;
     beast_http::response_parser<beast_http::string_body> parser;
     parser.body_limit(maximum_body_bytes);
+    parser.skip(message.method() == beast_http::verb::head);
     auto [read_code, read] = co_await beast_http::async_read(stream, buffer, parser, use_tuple);
     if (read_code)
         co_return make_client_error(request_progress::sent, read_code);
--- a/Libraries/http/client.h
+++ b/Libraries/http/client.h
@@ -6,6 +6,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <functional>
 #include <string>
 
 namespace cyclamenledge::http {
@@ -28,9 +29,13 @@
     base::milliseconds answer{30000};
 };
 
+/// Asked once the connection stands, right before the request is sent. A refusal proves that it was not sent.
+using send_permission = std::function<base::result<void>()>;
+
 /// Sends one request on a new connection and reads the whole answer.
 boost::asio::awaitable<client_result<response>> exchange(boost::asio::ip::tcp::endpoint endpoint, request message,
-                                                         client_timeouts timeouts, std::size_t maximum_body_bytes);
+                                                         client_timeouts timeouts, std::size_t maximum_body_bytes,
+                                                         send_permission may_send = {});
 
 request make_request(beast_http::verb method, std::string_view path, std::string body);
 
--- a/Libraries/once/key_call.h
+++ b/Libraries/once/key_call.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "base/error.h"
+#include "base/name_table.h"
 #include "base/time.h"
 #include "once/idempotency_key.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -16,6 +18,9 @@
 /// The states of a key at an agent. `ceded` is a key that was sealed for a later owner: it does not run here, but it
 /// may run there, so unlike `sealed` it never supports the statement "not run".
 enum class key_state : std::uint8_t { unseen, asking, running, done, sealed, ceded, unknown };
+inline constexpr std::size_t key_state_count = static_cast<std::size_t>(key_state::unknown) + 1;
+inline constexpr base::name_table<key_state, key_state_count> key_state_names{
+    base::make_names({"unseen", "asking", "running", "done", "sealed", "ceded", "unknown"})};
 
 /// A keyed call as it arrives at the agent.
 struct key_call {
@@ -33,6 +38,7 @@
 struct call_answer {
     unsigned status{0};
     std::string body;
+    std::string content_type{};
 };
 
 /// What becomes of a call or a query.
--- a/Libraries/once/key_table.cpp
+++ b/Libraries/once/key_table.cpp
@@ -191,6 +191,14 @@
     return close(*item, outcome(*item));
 }
 
+std::vector<waiter_outcome> key_table::withdraw(std::string_view scoped, moment now) {
+    auto* item = find(scoped);
+    if (item == nullptr || item->state != key_state::running)
+        return {};
+    settle(*item, key_state::sealed, now);
+    return close(*item, outcome(*item));
+}
+
 void key_table::recover(std::vector<remembered_key> const& remembered, moment now) {
     for (auto const& key : remembered) {
         auto* item = find(key.scoped);
@@ -231,6 +239,22 @@
     return found == records_.end() ? key_state::unseen : found->second.state;
 }
 
+call_answer const* key_table::answer_of(std::string_view scoped) const {
+    auto const found = records_.find(scoped);
+    return found != records_.end() && found->second.state == key_state::done ? found->second.answer.get() : nullptr;
+}
+
+std::array<std::size_t, key_state_count> key_table::counts() const {
+    std::array<std::size_t, key_state_count> counts{};
+    for (auto const& [scoped, item] : records_)
+        ++counts.at(static_cast<std::size_t>(item.state));
+    return counts;
+}
+
+base::time_point key_table::recovery_end() const {
+    return start_.steady + options_.limits.key_lifetime + options_.limits.creation_margin();
+}
+
 std::vector<std::string> key_table::owners_to_answer(std::string_view scoped) const {
     auto const found = records_.find(scoped);
     return found == records_.end() || !found->second.open ? std::vector<std::string>{} : found->second.open->to_answer;
@@ -295,7 +319,7 @@
         return false;
     if (key.created())
         return *key.created() <= start_.wall + margin;
-    return now.steady < start_.steady + options_.limits.key_lifetime + margin;
+    return now.steady < recovery_end();
 }
 
 std::optional<error_kind> key_table::unusable(std::string const& scoped, idempotency_key const& key, moment now) {
--- a/Libraries/once/key_table.h
+++ b/Libraries/once/key_table.h
@@ -7,6 +7,7 @@
 
 #include <boost/intrusive/list.hpp>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -61,6 +62,8 @@
     std::vector<waiter_outcome> complete(std::string_view scoped, call_answer answer, moment now);
     /// The target failed while the key ran, so whether it ran is not known.
     std::vector<waiter_outcome> fail(std::string_view scoped, moment now);
+    /// The running call was never sent to the target, so it did not run and its key is sealed.
+    std::vector<waiter_outcome> withdraw(std::string_view scoped, moment now);
     /// Question of an entry. An unseen key is sealed in the same step, after the earlier owners have ceded it.
     key_decision query(std::string_view organisation, idempotency_key const& key, std::uint64_t body_fingerprint,
                        waiter from, key_ownership const& owners, moment now);
@@ -80,6 +83,12 @@
     void expire(moment now);
 
     key_state state_of(std::string_view scoped) const;
+    /// The stored answer of a key that is done, or null.
+    call_answer const* answer_of(std::string_view scoped) const;
+    /// The number of keys in each state.
+    std::array<std::size_t, key_state_count> counts() const;
+    /// When the keys of earlier incarnations can no longer be used.
+    base::time_point recovery_end() const;
     /// The earlier owners of an `asking` key that have not answered.
     std::vector<std::string> owners_to_answer(std::string_view scoped) const;
     std::size_t size() const { return records_.size(); }
--- a/Libraries/wire/message_kind.cpp
+++ b/Libraries/wire/message_kind.cpp
@@ -36,6 +36,8 @@
     {"crash_notice", control, verify<schema::CrashNotice>},
     {"credit_request", control, verify<schema::CreditRequest>},
     {"credit_grant", control, verify<schema::CreditGrant>},
+    {"owner_question", data, verify<schema::OwnerQuestion>},
+    {"owner_reply", data, verify<schema::OwnerReply>},
 }};
 
 } // namespace
--- a/Libraries/wire/message_kind.h
+++ b/Libraries/wire/message_kind.h
@@ -33,8 +33,10 @@
     crash_notice,
     credit_request,
     credit_grant,
+    owner_question,
+    owner_reply,
 };
-inline constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::credit_grant) + 1;
+inline constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::owner_reply) + 1;
 
 /// Whether a frame counts towards the control cost or carries callers' data.
 enum class traffic_kind : std::uint8_t { control, data };
@@ -81,6 +83,8 @@
 CYCLAMENLEDGE_MESSAGE(crash_notice, CrashNotice)
 CYCLAMENLEDGE_MESSAGE(credit_request, CreditRequest)
 CYCLAMENLEDGE_MESSAGE(credit_grant, CreditGrant)
+CYCLAMENLEDGE_MESSAGE(owner_question, OwnerQuestion)
+CYCLAMENLEDGE_MESSAGE(owner_reply, OwnerReply)
 
 #undef CYCLAMENLEDGE_MESSAGE
 
