--- a/Libraries/entry/blackboard.h
+++ b/Libraries/entry/blackboard.h
@@ -3,6 +3,7 @@
 #include "base/guarded.h"
 #include "catalogue/catalogue.h"
 #include "entry/attempt.h"
+#include "entry/limit_state.h"
 #include "once/call_tracker.h"
 #include "retry/hedge_decision.h"
 #include "retry/retry_budget.h"
@@ -23,6 +24,7 @@
 struct blackboard {
     base::guarded<catalogue::catalogue_pointer, base::lock_rank::configuration> catalogue;
     base::guarded<routing_state, base::lock_rank::routing> routing;
+    guarded_limits limits;
     base::guarded<once::call_tracker, base::lock_rank::keys> calls{once::call_tracker_options{}};
     guarded_attempts attempts;
 };
