Let a planned stop of an agent wait for its entries, and answer slow requests

Cause: process tests of the generation path found two faults. An agent counted a request as ended when the engine had ended it, so a planned stop dropped tokens that an entry could not fetch while its link was down, and the agent had closed its port to the returning entry; the stream ended with generation_lost. A request whose header did not arrive in time was closed without the answer 408, because the time limit of tcp_stream closes the socket. Change: a run is released when its end has been sent or nobody fetches it any more, and the planned stop waits for that; the agent's port stays open for links until it exits. A run that was cancelled while it was queued ends its request once. Reads of requests have their own timer.

--- a/Libraries/agent/agent_role.cpp
+++ b/Libraries/agent/agent_role.cpp
@@ -73,9 +73,8 @@
     return daemon_.hub().listen(daemon_.settings().peer_address);
 }
 
-void agent_role::stop_accepting() {
-    daemon_.hub().stop_accepting();
-}
+// An entry whose link breaks during the stop has to come back for its streams. New work is refused by begin_request.
+void agent_role::stop_accepting() {}
 
 bool agent_role::able_to_serve() const {
     return board_.target.with([](target_view const& view) { return view.reachable; });
--- a/Libraries/agent/generation_controller.cpp
+++ b/Libraries/agent/generation_controller.cpp
@@ -225,9 +225,8 @@
 void generation_controller::wait(generation_run&, admission::admission_decision const&) {}
 
 void generation_controller::refuse(generation_run& run, admission::admission_decision const& decision) {
-    auto const kept = board_.runs.with([&](run_table& table) { return table.remove(run.stream()); });
-    run.refuse(base::make_error(decision.error, "the target has no room", decision.retry_after));
-    if (kept)
+    board_.runs.with([&](run_table& table) { table.remove(run.stream()); });
+    if (run.refuse(base::make_error(decision.error, "the target has no room", decision.retry_after)))
         daemon_.end_request();
 }
 
@@ -265,11 +264,15 @@
         controller->on_end(run.stream(), end, now);
         return controller->poll(now);
     });
-    daemon_.end_request();
     forget_later(run.stream());
     apply(decisions);
 }
 
+// A planned stop waits for the entry too: tokens that it could not fetch while its link was down would be lost.
+void generation_controller::on_released(generation_run&) {
+    daemon_.end_request();
+}
+
 void generation_controller::forget_later(std::uint64_t stream) {
     auto timer = std::make_shared<asio::steady_timer>(strand_, resume_grace);
     timer->async_wait([this, stream, timer](boost::system::error_code const&) {
--- a/Libraries/agent/generation_controller.h
+++ b/Libraries/agent/generation_controller.h
@@ -26,6 +26,7 @@
 
     void on_token(generation_run& run) override;
     void on_end(generation_run& run, admission::stream_end end) override;
+    void on_released(generation_run& run) override;
 
     /// The load hint for heartbeats and answers.
     wire::schema::LoadHintT hint() const;
--- a/Libraries/agent/generation_run.cpp
+++ b/Libraries/agent/generation_run.cpp
@@ -55,16 +55,19 @@
     asio::co_spawn(strand_, execute(run_pointer{this}, true), asio::detached);
 }
 
-void generation_run::refuse(base::error reason) {
+bool generation_run::refuse(base::error reason) {
     wire::schema::RefusedT refused;
     refused.error = static_cast<std::uint8_t>(reason.kind);
     refused.message = std::move(reason.message);
     refused.retry_after_ms = static_cast<std::uint32_t>(reason.retry_after.value_or(base::milliseconds{0}).count());
     std::scoped_lock const lock{mutex_};
+    if (std::exchange(released_, true))
+        return false;
     refused.attempt = destination_.attempt;
     ended_ = true;
     if (destination_.connection)
         destination_.connection->send(refused);
+    return true;
 }
 
 asio::awaitable<void> generation_run::execute(run_pointer, bool adopted) {
@@ -182,9 +185,16 @@
         end_sent_ = true;
         end_message_.attempt = destination_.attempt;
         destination_.connection->send(end_message_);
+        release();
     }
 }
 
+void generation_run::release() {
+    if (std::exchange(released_, true))
+        return;
+    asio::post(strand_, [self = run_pointer{this}] { self->observer_.on_released(*self); });
+}
+
 asio::awaitable<void> generation_run::wait_for_room() {
     while (true) {
         room_timer_.expires_at(base::time_point::max());
@@ -250,10 +260,13 @@
 void generation_run::cancel() {
     {
         std::scoped_lock const lock{mutex_};
-        if (cancelled_ || ended_)
+        if (ended_) {
+            release();
             return;
+        }
         cancelled_ = true;
         ended_ = true;
+        release();
     }
     asio::post(strand_, [self = run_pointer{this}] {
         self->room_timer_.cancel();
--- a/Libraries/agent/generation_run.h
+++ b/Libraries/agent/generation_run.h
@@ -30,6 +30,9 @@
 
     virtual void on_token(generation_run& run) = 0;
     virtual void on_end(generation_run& run, admission::stream_end end) = 0;
+    /// The run has ended and its entry has been sent all of it, or will not fetch the rest. Called once for each run
+    /// that was not refused.
+    virtual void on_released(generation_run& run) = 0;
 };
 
 /// Where the tokens of a run go: one attempt on one connection.
@@ -60,8 +63,8 @@
     void start(std::uint32_t priority);
     /// Continues a generation that an earlier agent process started at the engine.
     void adopt(std::uint32_t from_index);
-    /// Refuses a run that has not started.
-    void refuse(base::error reason);
+    /// Refuses a run that has not started. False when it has been cancelled before.
+    bool refuse(base::error reason);
     void cancel();
     void acknowledge(std::uint32_t index);
     /// Sends to another connection from the given index on. False when tokens before it are still missing or gone.
@@ -76,7 +79,9 @@
     boost::asio::awaitable<void> wait_for_room();
     boost::asio::awaitable<void> pass_on(line_stream_pointer stream);
     void deliver(std::string text);
+    // Both are called with the lock held.
     void pump();
+    void release();
     void finish(std::string reason);
     void fail(base::error const& reason);
     void end(wire::schema::GenerationEndT message, admission::stream_end outcome);
@@ -100,6 +105,7 @@
     bool cancelled_{false};
     bool ended_{false};
     bool end_sent_{false};
+    bool released_{false};
     wire::schema::GenerationEndT end_message_;
     http::line_stream* open_stream_{nullptr};
 };
--- a/Libraries/http/session.cpp
+++ b/Libraries/http/session.cpp
@@ -45,6 +45,7 @@
 
 session::session(asio::ip::tcp::socket socket, server_limits const& limits)
     : stream_(std::move(socket))
+    , read_timer_(stream_.get_executor())
     , limits_(limits) {
     beast::error_code ignored;
     stream_.socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
@@ -63,20 +64,42 @@
             co_return base::make_error(base::error_kind::link_lost, "the connection was idle");
         buffer_.commit(count);
     }
-    stream_.expires_after(limits_.header_timeout);
+    stream_.expires_never();
+    limit_read(limits_.header_timeout);
     auto [header_code, header_count] = co_await beast_http::async_read_header(stream_, buffer_, parser, use_tuple);
+    if (end_read_limit())
+        co_return read_error(beast::error::timeout);
     if (header_code)
         co_return read_error(header_code);
-    stream_.expires_after(limits_.body_timeout);
+    limit_read(limits_.body_timeout);
     auto [body_code, body_count] = co_await beast_http::async_read(stream_, buffer_, parser, use_tuple);
+    if (end_read_limit())
+        co_return read_error(beast::error::timeout);
     if (body_code)
         co_return read_error(body_code);
-    stream_.expires_never();
     ++requests_;
     keep_alive_ = parser.get().keep_alive();
     co_return parser.release();
 }
 
+// The time limit of tcp_stream closes the socket, after which a late client could not be answered.
+void session::limit_read(base::milliseconds longest) {
+    read_expired_ = false;
+    read_timer_.expires_after(longest);
+    read_timer_.async_wait([self = session_pointer{this}, number = ++limited_read_](beast::error_code const& code) {
+        if (code || number != self->limited_read_)
+            return;
+        self->read_expired_ = true;
+        self->stream_.cancel();
+    });
+}
+
+bool session::end_read_limit() {
+    ++limited_read_;
+    read_timer_.cancel();
+    return read_expired_;
+}
+
 awaitable_result<void> session::send(response answer) {
     answer.keep_alive(keep_alive_);
     answer.prepare_payload();
--- a/Libraries/http/session.h
+++ b/Libraries/http/session.h
@@ -3,6 +3,7 @@
 #include "http/message.h"
 #include "http/server_limits.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -36,7 +37,14 @@
     boost::asio::any_io_executor executor() { return stream_.get_executor(); }
 
 private:
+    void limit_read(base::milliseconds longest);
+    bool end_read_limit();
+
     boost::beast::tcp_stream stream_;
+    boost::asio::steady_timer read_timer_;
+    /// Number of the read that the timer limits.
+    std::uint64_t limited_read_{0};
+    bool read_expired_{false};
     boost::beast::flat_buffer buffer_;
     server_limits const& limits_;
     bool keep_alive_{true};
