Keep the text that a parsed operator query refers to

Cause: the parameters of /explain were read from a view of a temporary string, so that the names were wrong and the answer was 404. Change: the text lives as long as the view. No test in Tests covers it yet.

--- a/Libraries/process/operator_handler.cpp
+++ b/Libraries/process/operator_handler.cpp
@@ -17,7 +17,9 @@
 constexpr std::string_view text_type = "text/plain; charset=utf-8";
 
 std::string parameter(std::string_view query, std::string_view name) {
-    auto const parsed = boost::urls::parse_origin_form("/?" + std::string(query));
+    // The parsed view refers into this text.
+    auto const text = "/?" + std::string(query);
+    auto const parsed = boost::urls::parse_origin_form(text);
     if (!parsed)
         return {};
     for (auto const& item : parsed->params()) {
