--- a/Libraries/http/line_stream.cpp
+++ b/Libraries/http/line_stream.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <limits>
+#include <utility>
 
 namespace cyclamenledge::http {
 
@@ -63,8 +64,8 @@
                 co_return line;
             continue;
         }
-        if (parser_.is_done())
-            co_return std::string{};
+        if (parser_.is_done()) // A last line may have no end.
+            co_return std::exchange(pending_, {}).substr(std::exchange(consumed_, 0));
         pending_.erase(0, consumed_);
         consumed_ = 0;
         if (pending_.size() > maximum_line_bytes)
--- a/Utilities/cyclamenctl/subcommand.h
+++ b/Utilities/cyclamenctl/subcommand.h
@@ -9,7 +9,7 @@
 namespace cyclamenledge::control {
 
 /// Exit status of cyclamenctl.
-enum class exit_status { ok = 0, invalid = 1, usage = 2 };
+enum class exit_status { ok = 0, invalid = 1, usage = 2, refused = 3, unreachable = 4, incomplete = 5 };
 
 /// One subcommand of cyclamenctl.
 class subcommand {
--- a/Utilities/cyclamenctl/subcommands.cpp
+++ b/Utilities/cyclamenctl/subcommands.cpp
@@ -1,4 +1,7 @@
+#include "call_command.h"
 #include "check_command.h"
+#include "explain_command.h"
+#include "state_command.h"
 #include "subcommand.h"
 #include "version_command.h"
 
@@ -13,7 +16,8 @@
     return std::make_unique<Command>();
 }
 
-constexpr std::array table{&make<check_command>, &make<version_command>};
+constexpr std::array table{&make<check_command>, &make<state_command>, &make<explain_command>, &make<call_command>,
+                           &make<version_command>};
 
 } // namespace
 
