Give the daemons live configuration and membership

Cause: the daemons read a catalogue file once at start, so no change of the catalogue and no leaving VM had an effect on a running process.

Change: process::configuration_controller runs the watch schedule, the dissemination between peers and the revision store for both roles; process::membership_controller feeds the member table from the catalogue, the VM list and the links. Roles get catalogues through role::apply_catalogue, outside the event loop; an entry builds its routing table outside the routing lock. document_parts is merged into configuration/publication.

The settings test "no source of the catalogue" now also removes the peers, because an entry may get its configuration from peers alone; an agent needs no source, because entries connect to it.

Catalogues of the target size have not been measured in real processes.

--- a/Development/catalogue_generator/main.cpp
+++ b/Development/catalogue_generator/main.cpp
@@ -1,5 +1,5 @@
 #include "catalogue/catalogue_reader.h"
-#include "catalogue/document_parts.h"
+#include "configuration/publication.h"
 #include "generate.h"
 
 #include <CLI/CLI.hpp>
@@ -18,21 +18,21 @@
     return usage.ru_maxrss;
 }
 
-std::size_t bytes_of(catalogue::document_index const& index, std::vector<std::size_t> const& positions) {
+std::size_t bytes_of(configuration::publication const& published, std::vector<std::size_t> const& positions) {
     std::size_t total = 0;
     for (auto const position : positions)
-        total += index.parts[position].bytes;
+        total += published.parts[position]->text().size();
     return total;
 }
 
 /// What a process transfers when one organisation in the middle of the document changes its owner.
-std::size_t bytes_after_one_change(catalogue::split_document const& before, std::string text) {
+std::size_t bytes_after_one_change(configuration::publication const& before, std::string text) {
     constexpr std::string_view owner = "owner: sales";
     auto const at = text.find(owner, text.size() / 2);
     text.replace(at, owner.size(), "owner: sales-north");
-    auto const after = catalogue::split(text, 2);
-    return catalogue::write_index(after.index).size() +
-           bytes_of(after.index, catalogue::changed_parts(before.index, after.index));
+    auto const after = configuration::split(text, 2);
+    return configuration::write_index(after.index).size() +
+           bytes_of(after, configuration::changed_parts(before.index, after.index));
 }
 
 double milliseconds_since(std::chrono::steady_clock::time_point start) {
@@ -43,24 +43,24 @@
 double parse_milliseconds(std::string const& text) {
     yaml_reader::diagnostics errors{"generated"};
     auto const start = std::chrono::steady_clock::now();
-    auto const root = yaml_reader::parse_document(text, errors, catalogue::maximum_joined_bytes);
+    auto const root = yaml_reader::parse_document(text, errors, configuration::maximum_joined_bytes);
     return root ? milliseconds_since(start) : 0;
 }
 
 int measure(std::string const& text) {
     auto const memory_before = peak_kilobytes();
     auto const start = std::chrono::steady_clock::now();
-    auto const read = catalogue::check_catalogue(text, "generated", catalogue::maximum_joined_bytes);
+    auto const read = catalogue::check_catalogue(text, "generated", configuration::maximum_joined_bytes);
     auto const spent = milliseconds_since(start);
     auto const memory_after = peak_kilobytes();
     if (!read.value) {
         std::cerr << to_text(read.errors.front()) << '\n';
         return 1;
     }
-    auto const divided = catalogue::split(text, 1);
+    auto const divided = configuration::split(text, 1);
     std::cout << "bytes " << text.size() << "\nread_ms " << spent << "\nparse_ms " << parse_milliseconds(text)
               << "\npeak_before_kb " << memory_before << "\npeak_after_kb " << memory_after << "\nparts "
-              << divided.parts.size() << "\nindex_bytes " << catalogue::write_index(divided.index).size()
+              << divided.parts.size() << "\nindex_bytes " << configuration::write_index(divided.index).size()
               << "\nbytes_after_one_change " << bytes_after_one_change(divided, text) << '\n';
     return 0;
 }
--- a/Libraries/admission/admission_controller.h
+++ b/Libraries/admission/admission_controller.h
@@ -41,6 +41,8 @@
     void on_load_report(load_report const& report, base::time_point now);
     /// The streams of an earlier incarnation are gone and count as failed.
     void on_incarnation(std::uint64_t id, base::duration uptime, base::time_point now);
+    /// The target is back in service. It counts as cold, but its running streams go on.
+    void on_return_to_service(base::time_point now) { warmup_.on_start(now); }
     /// Admissions and refusals of queued requests.
     std::vector<admission_decision> poll(base::time_point now);
     /// When poll has to be called if nothing happens before.
--- a/Libraries/agent/agent_role.h
+++ b/Libraries/agent/agent_role.h
@@ -15,19 +15,21 @@
 /// The daemon beside a target.
 class agent_role : public process::role {
 public:
-    static base::result<std::unique_ptr<agent_role>> create(process::runtime& daemon,
-                                                            catalogue::catalogue_pointer published);
+    static base::result<std::unique_ptr<agent_role>> create(process::runtime& daemon);
 
     base::result<void> start() override;
     void stop_accepting() override;
     bool able_to_serve() const override;
+    base::result<void> apply_catalogue(catalogue::catalogue_pointer const& published) override;
+    void follow_membership() override;
     boost::json::object state() const override;
     base::result<boost::json::object> explain(std::string_view organisation, std::string_view service) const override;
 
 private:
     agent_role(process::runtime& daemon, boost::asio::ip::tcp::endpoint target);
 
-    base::result<void> apply(catalogue::catalogue_pointer const& published);
+    void put_admission_in_force(catalogue::catalogue const& published, admission::admission_controller fresh);
+    membership::standing own_standing() const;
 
     process::runtime& daemon_;
     // Mutable because a snapshot of admission brings its sums up to date.
--- a/Libraries/agent/blackboard.h
+++ b/Libraries/agent/blackboard.h
@@ -11,7 +11,10 @@
 
 /// What is known about the target beside the agent.
 struct target_view {
+    /// The newest catalogue that publishes this target.
     catalogue::catalogue_pointer catalogue;
+    /// The VM list states that the VM of this target is leaving.
+    bool vm_leaving{false};
     bool reachable{false};
     std::uint64_t incarnation{0};
     std::uint64_t preemptions{0};
--- a/Libraries/agent/generation_controller.cpp
+++ b/Libraries/agent/generation_controller.cpp
@@ -91,6 +91,8 @@
         if (status) {
             auto const& report = status.value();
             auto const decisions = board_.admission.with([&](auto& controller) {
+                if (!controller)
+                    return std::vector<admission::admission_decision>{};
                 controller->on_incarnation(report.incarnation, report.uptime, now);
                 controller->on_load_report(report.load, now);
                 return controller->poll(now);
@@ -99,7 +101,9 @@
                 bool const changed = view.incarnation != 0 && view.incarnation != report.incarnation;
                 if (report.preemptions > view.preemptions && !changed)
                     daemon_.metrics().add(metrics::counter_kind::preemptions, report.preemptions - view.preemptions);
-                view = {view.catalogue, true, report.incarnation, report.preemptions};
+                view.reachable = true;
+                view.incarnation = report.incarnation;
+                view.preemptions = report.preemptions;
                 return changed;
             });
             if (restarted)
@@ -125,6 +129,8 @@
     while (true) {
         auto const now = base::clock::now();
         auto const [decisions, next] = board_.admission.with([&](auto& controller) {
+            if (!controller)
+                return std::pair{std::vector<admission::admission_decision>{}, base::time_point::max()};
             return std::pair{controller->poll(now), controller->next_poll()};
         });
         apply(decisions);
@@ -135,9 +141,11 @@
 
 std::optional<base::error> generation_controller::refusal_reason() const {
     auto const view = board_.target.with([](target_view const& current) { return current; });
-    auto const* self = view.catalogue->find_target(daemon_.settings().name);
+    auto const* self = view.catalogue ? view.catalogue->find_target(daemon_.settings().name) : nullptr;
     if (self == nullptr || !view.catalogue->in_service(*self))
         return base::make_error(base::error_kind::out_of_service, "the target is out of service");
+    if (view.vm_leaving)
+        return base::make_error(base::error_kind::leaving, "the VM of the target is leaving");
     if (!view.reachable)
         return base::make_error(base::error_kind::overloaded, "the target cannot be reached", unreachable_retry);
     return std::nullopt;
@@ -184,6 +192,9 @@
         board_.runs.with([&](run_table& table) { return table.find_generation(message.resume_generation); });
     if (known)
         return reattach(*known, source, message);
+    // Without a catalogue there is no admission yet that could count the generation.
+    if (!board_.admission.with([](auto const& controller) { return controller.has_value(); }))
+        return false;
     if (!daemon_.begin_request())
         return false;
     // An earlier agent process may have started the generation; the engine knows whether it still holds it.
@@ -278,7 +289,8 @@
 }
 
 wire::schema::LoadHintT generation_controller::hint() const {
-    auto const current = board_.admission.with([](auto const& controller) { return controller->hint(); });
+    auto const current = board_.admission.with(
+        [](auto const& controller) { return controller ? controller->hint() : admission::load_hint{}; });
     wire::schema::LoadHintT message;
     message.running = current.running;
     message.queued = current.queued;
--- a/Libraries/catalogue/entry.h
+++ b/Libraries/catalogue/entry.h
@@ -11,6 +11,8 @@
     std::string vm;
     /// Where it listens for other processes of the system, as IP:PORT.
     std::string peer_address;
+
+    friend bool operator==(entry const&, entry const&) = default;
 };
 
 } // namespace cyclamenledge::catalogue
--- a/Libraries/catalogue/failure_domain.h
+++ b/Libraries/catalogue/failure_domain.h
@@ -13,6 +13,8 @@
     std::string name;
     std::string region;
     service_state state{service_state::in_service};
+
+    friend bool operator==(failure_domain const&, failure_domain const&) = default;
 };
 
 } // namespace cyclamenledge::catalogue
--- a/Libraries/catalogue/target.h
+++ b/Libraries/catalogue/target.h
@@ -26,6 +26,8 @@
     std::uint32_t maximum_running{64};
     /// Requests that a target may run right after it has started.
     std::uint32_t warmup_floor{2};
+
+    friend bool operator==(target const&, target const&) = default;
 };
 
 } // namespace cyclamenledge::catalogue
--- a/Libraries/configuration/publication.h
+++ b/Libraries/configuration/publication.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/result.h"
+
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
@@ -13,6 +15,10 @@
 
 /// Largest part of a publication. A change of one entry then costs at most this much per process.
 inline constexpr std::size_t maximum_part_bytes = 64 * 1024;
+/// Largest joined document; the catalogue of the target size has about 5 MB.
+inline constexpr std::size_t maximum_joined_bytes = 16UL * 1024 * 1024;
+/// Bounds what a process reserves for an index. Parts have at least 16 KiB, but for the last one.
+inline constexpr std::size_t maximum_parts = 1024;
 
 /// A piece of a published document, identified by the digest of its text. It does not change.
 class part : public boost::intrusive_ref_counter<part> {
@@ -53,4 +59,21 @@
 /// Builds the index for parts of a document.
 publication make_publication(std::uint64_t revision, std::vector<part_pointer> parts);
 
+/// Cuts a document at list items chosen by their content, so that a change moves no other cut.
+publication split(std::string_view document, std::uint64_t revision);
+
+/// Joins the parts of an index. Fails with invalid_configuration when a part or the whole does not match the index.
+base::result<std::string> join(publication_index const& index, std::vector<part_pointer> const& parts);
+
+/// Positions of the parts of `newer` that `older` does not have.
+std::vector<std::size_t> changed_parts(publication_index const& older, publication_index const& newer);
+
+/// Digests are written as 16 hexadecimal digits.
+std::string digest_text(std::uint64_t digest);
+base::result<std::uint64_t> parse_digest(std::string_view text);
+
+/// The JSON form of an index, {"revision":N,"digest":"hex","parts":["hex",...]}, and its strict reader.
+std::string write_index(publication_index const& index);
+base::result<publication_index> read_index(std::string_view text);
+
 } // namespace cyclamenledge::configuration
--- a/Libraries/configuration/spread.cpp
+++ b/Libraries/configuration/spread.cpp
@@ -113,7 +113,7 @@
             return std::nullopt;
         result.parts.push_back(held->second);
     }
-    if (publication_digest(result.document(), result.index.revision) != result.index.digest) {
+    if (!join(result.index, result.parts)) {
         forget_offers(result.index);
         return std::nullopt;
     }
--- a/Libraries/entry/agent_links.cpp
+++ b/Libraries/entry/agent_links.cpp
@@ -66,13 +66,16 @@
     }
     for (auto const& target : ended)
         daemon_.hub().disconnect(target);
-    for (auto const& [target, address] : wanted)
+    for (auto const& [target, address] : wanted) {
         daemon_.hub().connect(target, address);
+        // The link may be up already, as to a first contact or while the table was being built.
+        if (daemon_.hub().find(target))
+            set_link(target, true);
+    }
 }
 
 void agent_links::on_up(link::connection& source) {
-    board_.routing.with(
-        [&](routing_state& state) { state.targets->set_link(source.peer().process, true, base::clock::now()); });
+    set_link(source.peer().process, true);
 }
 
 void agent_links::on_heartbeat(link::connection& source, wire::schema::HeartbeatT const& heartbeat) {
@@ -83,17 +86,22 @@
 void agent_links::update_hint(std::string const& target, wire::schema::LoadHintT const& hint) {
     routing::load_hint const value{hint.running, hint.queued, hint.bound, hint.target_incarnation};
     board_.routing.with([&](routing_state& state) {
-        state.targets->update_hint(target, value, base::clock::now());
-        state.targets->set_leaving(target, !hint.accepting);
+        if (state.targets)
+            state.targets->update_hint(target, value, base::clock::now());
+    });
+}
+
+void agent_links::set_link(std::string const& target, bool up) {
+    board_.routing.with([&](routing_state& state) {
+        if (state.targets)
+            state.targets->set_link(target, up, base::clock::now());
     });
 }
 
 void agent_links::on_down(link::connection& source, base::error const& reason) {
     // With a fresh connection in place already, the target stays linked.
-    if (!daemon_.hub().find(source.peer().process)) {
-        board_.routing.with(
-            [&](routing_state& state) { state.targets->set_link(source.peer().process, false, base::clock::now()); });
-    }
+    if (!daemon_.hub().find(source.peer().process))
+        set_link(source.peer().process, false);
     board_.attempts.with([&](stream::attempt_table& attempts) {
         for (auto* const lost : attempts.lose_connection(source.number()))
             static_cast<attempt*>(lost)->receiver().deliver(lost->identity().attempt, connection_lost{reason});
--- a/Libraries/entry/agent_links.h
+++ b/Libraries/entry/agent_links.h
@@ -32,6 +32,7 @@
     void register_answer();
     template <class Message>
     void pass_on(link::connection& source, Message message);
+    void set_link(std::string const& target, bool up);
     void update_hint(std::string const& target, wire::schema::LoadHintT const& hint);
 
     process::runtime& daemon_;
--- a/Libraries/entry/caller_handler.cpp
+++ b/Libraries/entry/caller_handler.cpp
@@ -75,6 +75,8 @@
         return base::make_error(error_kind::unauthorised, "a bearer key is needed");
     caller found;
     found.catalogue = board_.catalogue.with([](auto const& published) { return published; });
+    if (!found.catalogue)
+        return base::make_error(error_kind::no_target, "this entry has no catalogue yet");
     found.organisation =
         found.catalogue->find_by_bearer_digest(base::sha256_hex(authorization.substr(bearer_prefix.size())));
     if (found.organisation == nullptr)
--- a/Libraries/entry/entry_role.cpp
+++ b/Libraries/entry/entry_role.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/array.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenledge::entry {
 
@@ -21,8 +22,29 @@
     return limits;
 }
 
-boost::json::object dump_target(routing::target_state const& target) {
+/// Whether both catalogues lead to the same links and the same states of targets.
+bool equal_routing(catalogue::catalogue const& left, catalogue::catalogue const& right) {
+    return left.entries() == right.entries() && left.targets() == right.targets() &&
+           left.failure_domains() == right.failure_domains() &&
+           std::ranges::equal(left.services(), right.services(), {}, &catalogue::service::name,
+                              &catalogue::service::name);
+}
+
+bool is_out_of_service(membership::standing value) {
+    return value == membership::standing::target_out_of_service ||
+           value == membership::standing::failure_domain_out_of_service;
+}
+
+/// Standings for which the entry does not choose the target whatever its link says. A link, its health and the service
+/// state of the catalogue are in the routing table already.
+bool counts_as_leaving(membership::standing value) {
+    using enum membership::standing;
+    return value == vm_leaving || value == announced_leaving || value == vm_gone;
+}
+
+boost::json::object dump_target(routing::target_state const& target, membership::standing standing) {
     return {{"target", target.name},
+            {"standing", membership::name_of(standing)},
             {"link_up", target.link_up},
             {"in_service", target.in_service},
             {"leaving", target.leaving},
@@ -37,11 +59,9 @@
 
 } // namespace
 
-base::result<std::unique_ptr<entry_role>> entry_role::create(process::runtime& daemon,
-                                                             catalogue::catalogue_pointer published) {
+base::result<std::unique_ptr<entry_role>> entry_role::create(process::runtime& daemon) {
     std::unique_ptr<entry_role> created{new entry_role{daemon}};
     created->links_.start();
-    BOOST_OUTCOME_TRYV(created->apply(published));
     return created;
 }
 
@@ -53,26 +73,91 @@
     , operators_(daemon, *this)
     , operator_server_(daemon.context(), {}, operators_) {}
 
-base::result<void> entry_role::apply(catalogue::catalogue_pointer const& published) {
-    auto const now = base::clock::now();
-    auto const applied = board_.routing.with([&](routing_state& state) -> base::result<void> {
-        routing::target_table_builder builder;
-        builder.published(published).entry(daemon_.settings().name).failure_domain(daemon_.settings().failure_domain);
-        builder.seed(base::random_seed());
+base::result<void> entry_role::apply_catalogue(catalogue::catalogue_pointer const& published) {
+    auto const current = board_.catalogue.with([](auto const& slot) { return slot; });
+    if (!current || !equal_routing(*current, *published)) {
+        BOOST_OUTCOME_TRYV(rebuild_targets(published));
+    }
+    board_.catalogue.with([&](auto& slot) { slot = published; });
+    links_.follow(*published);
+    return base::success();
+}
+
+base::result<void> entry_role::rebuild_targets(catalogue::catalogue_pointer const& published) {
+    routing::target_table_builder builder;
+    builder.published(published).entry(daemon_.settings().name).failure_domain(daemon_.settings().failure_domain);
+    builder.seed(base::random_seed());
+    // Takes about 175 ms at target size, so that requests must not wait for it.
+    BOOST_OUTCOME_TRY(auto table, builder.build(base::clock::now()));
+    board_.routing.with([&](routing_state& state) {
         if (state.targets)
-            builder.previous(*state.targets);
-        BOOST_OUTCOME_TRY(auto table, builder.build(now));
+            table.take_over(std::move(*state.targets), base::clock::now());
         state.targets.emplace(std::move(table));
-        return base::success();
     });
-    BOOST_OUTCOME_TRYV(applied);
-    board_.catalogue.with([&](auto& slot) { slot = published; });
-    links_.follow(*published);
-    daemon_.metrics().add(metrics::counter_kind::configuration_applied);
-    log::write(log::event_kind::configuration_applied, {{"revision", published->revision()}});
     return base::success();
 }
 
+std::map<std::string, membership::standing> entry_role::standings() const {
+    std::vector<std::string> names;
+    board_.routing.with([&](routing_state& state) {
+        if (!state.targets)
+            return;
+        for (auto const& target : state.targets->targets())
+            names.emplace_back(target.name);
+    });
+    std::map<std::string, membership::standing> result;
+    daemon_.board().members.with([&](auto& members) {
+        for (auto const& name : names)
+            result[name] =
+                members ? members->standing_of(name, base::clock::now()) : membership::standing::not_in_catalogue;
+    });
+    return result;
+}
+
+void entry_role::follow_membership() {
+    auto current = standings();
+    board_.routing.with([&](routing_state& state) {
+        for (auto const& [target, standing] : current) {
+            if (state.targets)
+                state.targets->set_leaving(target, counts_as_leaving(standing));
+        }
+    });
+    for (auto const& [target, standing] : current) {
+        auto const before = last_standings_.find(target);
+        log_standing(target, before == last_standings_.end() ? membership::standing::eligible : before->second,
+                     standing);
+    }
+    last_standings_ = std::move(current);
+    log_ejections();
+}
+
+void entry_role::log_standing(std::string const& target, membership::standing before, membership::standing now) const {
+    if (is_out_of_service(before) == is_out_of_service(now))
+        return;
+    if (is_out_of_service(now)) {
+        log::write(log::event_kind::target_out_of_service, {{"target", target}, {"reason", membership::name_of(now)}});
+    } else {
+        log::write(log::event_kind::target_in_service, {{"target", target}});
+    }
+}
+
+void entry_role::log_ejections() {
+    std::set<std::string, std::less<>> current;
+    board_.routing.with([&](routing_state& state) {
+        if (!state.targets)
+            return;
+        for (auto const& target : state.targets->targets()) {
+            if (target.ejected_at)
+                current.emplace(target.name);
+        }
+    });
+    for (auto const& target : current) {
+        if (!ejected_.contains(target))
+            log::write(log::event_kind::target_ejected, {{"target", target}});
+    }
+    ejected_ = std::move(current);
+}
+
 base::result<void> entry_role::start() {
     BOOST_OUTCOME_TRYV(operator_server_.listen(daemon_.settings().operator_address));
     BOOST_OUTCOME_TRYV(daemon_.hub().listen(daemon_.settings().peer_address));
@@ -86,20 +171,26 @@
 
 bool entry_role::able_to_serve() const {
     return board_.routing.with([](routing_state& state) {
-        auto const& targets = state.targets->targets();
-        return std::ranges::any_of(targets, &routing::target_state::link_up);
+        return state.targets && std::ranges::any_of(state.targets->targets(), &routing::target_state::link_up);
     });
 }
 
 boost::json::object entry_role::state() const {
+    auto const current = standings();
     boost::json::array targets;
     board_.routing.with([&](routing_state& state) {
-        for (auto const& target : state.targets->targets())
-            targets.emplace_back(dump_target(target));
+        if (!state.targets)
+            return;
+        for (auto const& target : state.targets->targets()) {
+            auto const known = current.find(std::string{target.name});
+            targets.emplace_back(
+                dump_target(target, known == current.end() ? membership::standing::not_in_catalogue : known->second));
+        }
     });
     boost::json::object dump;
     dump["role"] = "entry";
-    dump["revision"] = board_.catalogue.with([](auto const& published) { return published->revision(); });
+    dump["revision"] =
+        board_.catalogue.with([](auto const& published) { return published ? published->revision() : 0; });
     dump["sessions"] = caller_server_.open_sessions();
     dump["targets"] = std::move(targets);
     return dump;
@@ -107,6 +198,8 @@
 
 base::result<boost::json::object> entry_role::explain(std::string_view organisation, std::string_view service) const {
     auto const published = board_.catalogue.with([](auto const& current) { return current; });
+    if (!published)
+        return base::make_error(base::error_kind::no_target, "this entry has no catalogue yet");
     auto const* from = published->find_organisation(organisation);
     auto const* wanted = published->find_service(service);
     if (from == nullptr || wanted == nullptr)
--- a/Libraries/entry/entry_role.h
+++ b/Libraries/entry/entry_role.h
@@ -8,32 +8,42 @@
 #include "process/role.h"
 #include "process/runtime.h"
 
+#include <map>
 #include <memory>
+#include <set>
+#include <string>
 
 namespace cyclamenledge::entry {
 
 /// The daemon that callers reach.
 class entry_role : public process::role {
 public:
-    static base::result<std::unique_ptr<entry_role>> create(process::runtime& daemon,
-                                                            catalogue::catalogue_pointer published);
+    static base::result<std::unique_ptr<entry_role>> create(process::runtime& daemon);
 
     base::result<void> start() override;
     void stop_accepting() override;
     bool able_to_serve() const override;
+    base::result<void> apply_catalogue(catalogue::catalogue_pointer const& published) override;
+    void follow_membership() override;
     boost::json::object state() const override;
     base::result<boost::json::object> explain(std::string_view organisation, std::string_view service) const override;
 
 private:
     explicit entry_role(process::runtime& daemon);
 
-    base::result<void> apply(catalogue::catalogue_pointer const& published);
+    base::result<void> rebuild_targets(catalogue::catalogue_pointer const& published);
+    std::map<std::string, membership::standing> standings() const;
+    void log_standing(std::string const& target, membership::standing before, membership::standing now) const;
+    void log_ejections();
 
     process::runtime& daemon_;
     mutable blackboard board_;
     agent_links links_;
     caller_handler callers_;
     http::server caller_server_;
+    // Only used by follow_membership.
+    std::map<std::string, membership::standing> last_standings_;
+    std::set<std::string, std::less<>> ejected_;
     process::operator_handler operators_;
     http::server operator_server_;
 };
--- a/Libraries/link/hub.cpp
+++ b/Libraries/link/hub.cpp
@@ -92,11 +92,23 @@
 }
 
 void hub::connect(std::string const& peer, std::string const& address) {
+    open_link(peer, peer, address);
+}
+
+void hub::connect_address(std::string const& address) {
+    open_link(address, {}, address);
+}
+
+void hub::disconnect_address(std::string const& address) {
+    disconnect(address);
+}
+
+void hub::open_link(std::string const& key, std::string const& peer, std::string const& address) {
     boost::intrusive_ptr<outbound_link> replaced;
     boost::intrusive_ptr<outbound_link> const opened{new outbound_link{*this, peer, address}};
     {
         std::scoped_lock const lock{mutex_};
-        auto& slot = outbound_[peer];
+        auto& slot = outbound_[key];
         if (slot && slot->address() == address)
             return;
         replaced = std::exchange(slot, opened);
@@ -119,6 +131,11 @@
     ended->stop();
 }
 
+bool hub::keeps(std::string_view peer) const {
+    std::scoped_lock const lock{mutex_};
+    return outbound_.contains(peer);
+}
+
 connection_pointer hub::find(std::string_view peer) const {
     std::scoped_lock const lock{mutex_};
     auto const [first, last] = ready_.equal_range(peer);
--- a/Libraries/link/hub.h
+++ b/Libraries/link/hub.h
@@ -49,6 +49,12 @@
     /// Keeps a connection to a peer until disconnect. With another address, the connection moves there.
     void connect(std::string const& peer, std::string const& address);
     void disconnect(std::string const& peer);
+    /// Keeps a connection to whichever process answers at the address; its name comes from the handshake.
+    void connect_address(std::string const& address);
+    void disconnect_address(std::string const& address);
+
+    /// Whether connect was called for the peer and disconnect was not.
+    bool keeps(std::string_view peer) const;
 
     /// A connection to the peer that requests may use now, or null.
     connection_pointer find(std::string_view peer) const;
@@ -69,6 +75,7 @@
 private:
     boost::asio::awaitable<void> accept_connections();
     boost::asio::awaitable<void> serve(tcp::socket socket);
+    void open_link(std::string const& key, std::string const& peer, std::string const& address);
 
     boost::asio::io_context& context_;
     wire::authenticator const& authenticator_;
@@ -82,6 +89,7 @@
     // Leaf lock: no other lock is taken while it is held.
     mutable std::mutex mutex_;
     std::multimap<std::string, connection_pointer, std::less<>> ready_;
+    /// By name of the peer, or by address where the name is not known. A name holds no colon.
     std::map<std::string, boost::intrusive_ptr<outbound_link>, std::less<>> outbound_;
 };
 
--- a/Libraries/link/hub_session.h
+++ b/Libraries/link/hub_session.h
@@ -22,7 +22,7 @@
     void on_closed(connection& source, base::error const& reason) override;
 
 protected:
-    hub& owner() { return hub_; }
+    hub& owner() const { return hub_; }
 
 private:
     hub& hub_;
--- a/Libraries/link/outbound_link.cpp
+++ b/Libraries/link/outbound_link.cpp
@@ -61,6 +61,10 @@
     return current_ != nullptr;
 }
 
+bool outbound_link::expected(std::string const& process) const {
+    return peer_.empty() ? process != owner().self().process : process == peer_;
+}
+
 asio::awaitable<void> outbound_link::keep_connected(self_pointer) {
     base::random_source random{base::random_seed()};
     retry::backoff const pause{first_backoff, backoff_limit};
@@ -98,10 +102,10 @@
     auto peer = co_await connect_handshake(socket, owner().authenticator(), owner().self());
     if (timeout.cancel() == 0)
         co_return false;
-    if (!peer || peer.value().process != peer_) {
-        log::write(
-            log::event_kind::link_refused,
-            {{"peer", peer_}, {"reason", peer ? "another process answers at this address" : peer.error().message}});
+    if (!peer || !expected(peer.value().process)) {
+        log::write(log::event_kind::link_refused,
+                   {{"peer", peer_.empty() ? address_ : peer_},
+                    {"reason", peer ? "another process answers at this address" : peer.error().message}});
         co_return false;
     }
     connection_pointer const opened{
--- a/Libraries/link/outbound_link.h
+++ b/Libraries/link/outbound_link.h
@@ -14,6 +14,7 @@
 /// Keeps one connection to a peer and opens a fresh one whenever it is lost.
 class outbound_link : public hub_session {
 public:
+    /// An empty peer name accepts any other process at the address.
     outbound_link(hub& owner, std::string peer, std::string address);
 
     void start();
@@ -30,6 +31,7 @@
     boost::asio::awaitable<void> wait_for_change(base::duration longest);
     bool stopped() const;
     bool connected() const;
+    bool expected(std::string const& process) const;
 
     std::string peer_;
     std::string address_;
--- a/Libraries/membership/member_table.h
+++ b/Libraries/membership/member_table.h
@@ -44,6 +44,8 @@
     /// Entries that neither leave nor are gone nor have a suspect link, in the order of the catalogue.
     std::vector<catalogue::entry const*> live_entries(base::time_point now) const;
 
+    /// Null before the first catalogue.
+    catalogue::catalogue_pointer const& published() const { return catalogue_; }
     bool region_partitioned(std::string_view region) const { return partitions_.partitioned(region); }
     /// When the VM of a member was first seen absent. None while this process has a healthy link to the member.
     std::optional<base::wall_time> gone_since(std::string_view member, base::time_point now) const;
--- /dev/null
+++ b/Libraries/process/configuration_status.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "base/time.h"
+#include "configuration/revision_store.h"
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace cyclamenledge::process {
+
+/// What the state dump says about the configuration of this process.
+struct configuration_status {
+    std::uint64_t revision{0};
+    std::uint64_t digest{0};
+    /// The peer that offered the publication, "service" or "file".
+    std::string source;
+    base::time_point since{};
+    std::optional<configuration::refused_revision> last_rejected;
+    std::optional<configuration::refused_revision> last_conflict;
+    /// Why the role keeps an earlier catalogue, for example because its name is missing from the newest one.
+    std::string not_applied_by_role;
+    std::optional<bool> service_reachable;
+    /// Why the configuration service counts as lost.
+    std::string service_failure;
+    bool watcher{false};
+
+    boost::json::object dump(base::time_point now) const;
+};
+
+} // namespace cyclamenledge::process
--- a/Libraries/process/operator_handler.cpp
+++ b/Libraries/process/operator_handler.cpp
@@ -83,6 +83,8 @@
     dump["uptime_seconds"] = base::to_seconds(base::clock::now() - daemon_.started_at());
     dump["drain"] = membership::name_of(daemon_.drain_state());
     dump["open_requests"] = daemon_.open_requests();
+    for (auto const& item : daemon_.state())
+        dump[item.key()] = item.value();
     for (auto const& item : role_.state())
         dump[item.key()] = item.value();
     return http::make_response(200, json_type, boost::json::serialize(dump) + "\n");
--- a/Libraries/process/role.h
+++ b/Libraries/process/role.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "catalogue/catalogue.h"
 
 #include <boost/json/object.hpp>
 
@@ -22,6 +23,12 @@
     virtual void stop_accepting() = 0;
     /// False while the role cannot serve, for example without a catalogue.
     virtual bool able_to_serve() const = 0;
+    /// Puts a newer catalogue in force. Calls don't overlap and are made outside the event loop, because building
+    /// tables takes long at target size. Fails, with the last catalogue still in force, when this process is not
+    /// published.
+    virtual base::result<void> apply_catalogue(catalogue::catalogue_pointer const& published) = 0;
+    /// The shared table of members may have changed. Called on a strand, several times a second.
+    virtual void follow_membership() = 0;
     /// The state dump. Holds no secret and no content of requests.
     virtual boost::json::object state() const = 0;
     /// Why a request of an organisation for a service would be admitted, queued or refused.
--- a/Libraries/process/runtime.cpp
+++ b/Libraries/process/runtime.cpp
@@ -72,6 +72,13 @@
     return drain_.state(base::clock::now());
 }
 
+boost::json::object runtime::state() const {
+    boost::json::object dump;
+    for (auto const& [name, part] : state_parts_)
+        dump[name] = part();
+    return dump;
+}
+
 void runtime::run(std::function<void()> on_refusing) {
     auto const work = asio::make_work_guard(context_);
     asio::co_spawn(context_, lead_planned_stop(std::move(on_refusing)), asio::detached);
--- a/Libraries/process/runtime.h
+++ b/Libraries/process/runtime.h
@@ -6,17 +6,21 @@
 #include "link/peer_identity.h"
 #include "membership/drain_controller.h"
 #include "metrics/registry.h"
+#include "process/blackboard.h"
 #include "settings/settings.h"
 #include "wire/authenticator.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/json/object.hpp>
 
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace cyclamenledge::process {
 
@@ -32,6 +36,12 @@
     metrics::registry& metrics() { return metrics_; }
     /// The connections to other processes.
     link::hub& hub() { return hub_; }
+    blackboard& board() { return board_; }
+    /// Adds a named part of the state dump. Called before the event loop runs.
+    void add_state(std::string name, std::function<boost::json::object()> dump) {
+        state_parts_.emplace_back(std::move(name), std::move(dump));
+    }
+    boost::json::object state() const;
     base::time_point started_at() const { return started_at_; }
     base::wall_time started_wall() const { return started_wall_; }
 
@@ -59,6 +69,8 @@
     base::wall_time started_wall_;
     boost::asio::io_context context_;
     link::hub hub_;
+    blackboard board_;
+    std::vector<std::pair<std::string, std::function<boost::json::object()>>> state_parts_;
     boost::asio::signal_set signals_;
     // Leaf lock: no other lock is taken while it is held.
     mutable std::mutex drain_mutex_;
--- a/Libraries/routing/target_table.cpp
+++ b/Libraries/routing/target_table.cpp
@@ -1,6 +1,7 @@
 #include "routing/target_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenledge::routing {
 
@@ -33,6 +34,18 @@
         release_region(state->region, now);
 }
 
+void target_table::take_over(target_table&& previous, base::time_point now) {
+    take_over_states(previous, now);
+    prefixes_ = std::move(previous.prefixes_);
+}
+
+void target_table::take_over_states(target_table const& previous, base::time_point now) {
+    for (auto& state : states_) {
+        if (auto const* earlier = previous.find(state.name))
+            state.carry_over(*earlier, now);
+    }
+}
+
 void target_table::set_leaving(std::string_view target, bool leaving) {
     if (auto* state = find_state(target))
         state->leaving = leaving;
--- a/Libraries/routing/target_table.h
+++ b/Libraries/routing/target_table.h
@@ -35,6 +35,10 @@
     void on_prefix_stored(std::string_view target, std::uint64_t prefix, base::time_point now);
     void on_prefix_evicted(std::string_view target, std::uint64_t prefix);
 
+    /// Takes over what the table of the previous catalogue has learned until now. The builder reads the previous table
+    /// while it builds, which needs the lock for long; this takes only the copy of the entry's own targets.
+    void take_over(target_table&& previous, base::time_point now);
+
     /// Decides only. The caller reports an attempt with on_sent and its end with on_outcome.
     route_decision choose(route_request const& request, base::time_point now);
     void on_sent(std::string_view target, std::uint64_t prefix, base::time_point now);
@@ -62,6 +66,7 @@
         , prefixes_(policy.prefix_lifetime) {}
 
     target_state* find_state(std::string_view target);
+    void take_over_states(target_table const& previous, base::time_point now);
     bool enabled(mechanism part) const { return !left_out_.test(static_cast<std::size_t>(part)); }
     candidates assess(std::vector<std::uint32_t> const& slots, route_request const& request,
                       base::time_point now) const;
--- a/Libraries/routing/target_table_builder.cpp
+++ b/Libraries/routing/target_table_builder.cpp
@@ -93,10 +93,7 @@
 
 void target_table_builder::carry_over(target_table& table, base::time_point now) const {
     table.prefixes_ = previous_->prefixes_;
-    for (auto& state : table.states_) {
-        if (auto const* earlier = previous_->find(state.name))
-            state.carry_over(*earlier, now);
-    }
+    table.take_over_states(*previous_, now);
 }
 
 } // namespace cyclamenledge::routing
--- a/Libraries/settings/settings_validator.cpp
+++ b/Libraries/settings/settings_validator.cpp
@@ -110,8 +110,10 @@
 }
 
 void check_catalogue_source(process_settings const& settings, path const& root, violations& out) {
-    if (!settings.configuration_address && !settings.catalogue_file)
-        out.add(root, "neither configuration_address nor catalogue_file", "one of them");
+    // Entries connect to an agent, which then receives the catalogue from them.
+    bool const has_source = settings.configuration_address || settings.catalogue_file || !settings.peers.empty();
+    if (!has_source && settings.role == process_role::entry)
+        out.add(root, "neither configuration_address nor catalogue_file nor peers", "one of them");
     if (settings.configuration_address && settings.catalogue_file)
         out.add({&root, "catalogue_file"}, "a file besides configuration_address",
                 "one of them; the file is only read without a configuration service");
--- a/Services/cyclamenledged/main.cpp
+++ b/Services/cyclamenledged/main.cpp
@@ -1,10 +1,10 @@
 #include "agent/agent_role.h"
-#include "catalogue/catalogue_reader.h"
 #include "entry/entry_role.h"
 #include "log/logger.h"
+#include "process/configuration_controller.h"
+#include "process/membership_controller.h"
 #include "process/runtime.h"
 #include "settings/settings_reader.h"
-#include "yaml_reader/file.h"
 
 #include <CLI/CLI.hpp>
 
@@ -18,11 +18,11 @@
 using namespace cyclamenledge;
 
 using role_pointer = std::unique_ptr<process::role>;
-using role_factory = base::result<role_pointer> (*)(process::runtime&, catalogue::catalogue_pointer);
+using role_factory = base::result<role_pointer> (*)(process::runtime&);
 
 template <class Role>
-base::result<role_pointer> make_role(process::runtime& daemon, catalogue::catalogue_pointer published) {
-    BOOST_OUTCOME_TRY(auto created, Role::create(daemon, std::move(published)));
+base::result<role_pointer> make_role(process::runtime& daemon) {
+    BOOST_OUTCOME_TRY(auto created, Role::create(daemon));
     return role_pointer{std::move(created)};
 }
 
@@ -32,13 +32,15 @@
 base::result<void> run(std::string const& path) {
     BOOST_OUTCOME_TRY(auto configured, settings::read_settings_file(path));
     BOOST_OUTCOME_TRYV(log::start_logging(configured.log_level, configured.name));
-    BOOST_OUTCOME_TRY(auto const text, yaml_reader::read_file(configured.catalogue_file.value_or("")));
-    BOOST_OUTCOME_TRY(auto const published, catalogue::read_catalogue(text, *configured.catalogue_file));
 
     BOOST_OUTCOME_TRY(auto const daemon, process::runtime::create(std::move(configured)));
     auto const make = role_factories.at(static_cast<std::size_t>(daemon->settings().role));
-    BOOST_OUTCOME_TRY(auto const served, make(*daemon, published));
+    BOOST_OUTCOME_TRY(auto const served, make(*daemon));
+    BOOST_OUTCOME_TRY(auto const members, process::membership_controller::create(*daemon, *served));
+    BOOST_OUTCOME_TRY(auto const configuration, process::configuration_controller::create(*daemon, *served, *members));
+    BOOST_OUTCOME_TRYV(configuration->start());
     BOOST_OUTCOME_TRYV(served->start());
+    members->start();
     log::write(log::event_kind::process_started,
                {{"incarnation", daemon->identity().incarnation}, {"threads", daemon->settings().threads}});
     daemon->run([&served] { served->stop_accepting(); });
