--- a/Libraries/process/membership_controller.cpp
+++ b/Libraries/process/membership_controller.cpp
@@ -129,11 +129,12 @@
         timer.expires_after(base::from_seconds(base::to_seconds(vm_list_interval) * (0.75 + 0.5 * random.unit())));
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         auto answer = co_await vms_->read();
-        list_reachable_ = answer.has_value();
-        if (answer && answer.value())
+        bool const reachable = answer.has_value();
+        list_reachable_ = reachable;
+        if (reachable && answer.value())
             last = std::move(answer).value();
         // An unchanged list is a confirmation, without which absences would not count up, and the table may be new.
-        if (answer && last)
+        if (reachable && last)
             take_vm_list(*last);
     }
 }
--- a/Tests/process/configuration/configuration_process_test.cpp
+++ b/Tests/process/configuration/configuration_process_test.cpp
@@ -162,6 +162,11 @@
     /// Guards against new work at a failure domain that was taken out, streams cut by it, and a target that stays out.
     void failure_domain_leaves_and_returns() {
         start_fleet();
+        // A target that is new for the entry is ramped, so that the first requests may be refused or go elsewhere.
+        CPPUNIT_ASSERT(wait_until(start_limit, [] {
+            complete(3, "first", 2);
+            return admitted_at(3) > 0;
+        }));
         auto const before = admitted_at(3);
         // The entry of the same region chooses this target.
         auto running = std::async(std::launch::async, [] { return complete(3, "long", 500); });
@@ -218,6 +223,9 @@
             }
             return true;
         }));
+        // New targets are ramped, so that the first requests of an entry may be refused.
+        for (unsigned number = 1; number <= entries; ++number)
+            CPPUNIT_ASSERT(wait_until(start_limit, [&] { return complete(number, "start", 2).status == 200; }));
     }
 
     static bool all_eligible(unsigned entry) {
