--- a/Libraries/agent/agent_role.cpp
+++ b/Libraries/agent/agent_role.cpp
@@ -23,46 +23,90 @@
 // In the order of catalogue::service_kind.
 constexpr std::array<part_factory, 2> part_factories{&make_part<engine_part>, &make_part<plain_part>};
 
-base::result<catalogue::target const*> own_target(process::runtime const& daemon,
-                                                  catalogue::catalogue const& published) {
-    auto const& name = daemon.settings().name;
-    auto const* self = published.find_target(name);
-    if (self == nullptr) {
-        return base::make_error(base::error_kind::invalid_configuration, "the catalogue has no target named " + name);
-    }
-    return self;
+base::error invalid(std::string const& what) {
+    return base::make_error(base::error_kind::invalid_configuration, what);
 }
 
 } // namespace
 
-base::result<std::unique_ptr<agent_role>> agent_role::create(process::runtime& daemon,
-                                                             catalogue::catalogue_pointer published) {
-    BOOST_OUTCOME_TRY(auto const endpoint, network::parse_endpoint(daemon.settings().target_address));
-    BOOST_OUTCOME_TRY(auto const* self, own_target(daemon, *published));
-    auto const kind = published->find_service(self->service)->kind;
-    std::unique_ptr<agent_role> created{new agent_role{daemon}};
-    created->part_ = part_factories.at(static_cast<std::size_t>(kind))(daemon, created->board_, endpoint);
-    BOOST_OUTCOME_TRYV(created->apply(published));
-    return created;
+base::result<std::unique_ptr<agent_role>> agent_role::create(process::runtime& daemon) {
+    BOOST_OUTCOME_TRY(auto target, network::parse_endpoint(daemon.settings().target_address));
+    return std::unique_ptr<agent_role>{new agent_role{daemon, std::move(target)}};
 }
 
-agent_role::agent_role(process::runtime& daemon)
+agent_role::agent_role(process::runtime& daemon, boost::asio::ip::tcp::endpoint target)
     : daemon_(daemon)
+    , target_(std::move(target))
     , operators_(daemon, *this)
-    , operator_server_(daemon.context(), {}, operators_) {}
-
-base::result<void> agent_role::apply(catalogue::catalogue_pointer const& published) {
-    BOOST_OUTCOME_TRY(auto const* self, own_target(daemon_, *published));
-    BOOST_OUTCOME_TRYV(part_->apply(published, *self));
-    board_.target.with([&](target_view& view) { view.catalogue = published; });
-    daemon_.metrics().add(metrics::counter_kind::configuration_applied);
-    log::write(log::event_kind::configuration_applied, {{"revision", published->revision()}});
+    , operator_server_(daemon.context(), {}, operators_) {
+    daemon_.hub().add_observer(*this);
+}
+
+base::result<void> agent_role::apply_catalogue(catalogue::catalogue_pointer const& published) {
+    auto const& name = daemon_.settings().name;
+    auto const* self = published->find_target(name);
+    if (self == nullptr)
+        return invalid("the catalogue has no target named " + name);
+    auto const kind = published->find_service(self->service)->kind;
+    bool const first = part_ == nullptr;
+    if (!first && kind != kind_)
+        return invalid("the kind of the service of " + name + " has changed; the agent has to be restarted");
+    if (first)
+        part_ = part_factories.at(static_cast<std::size_t>(kind))(daemon_, board_, target_);
+    kind_ = kind;
+    if (auto const applied = part_->apply(published, *self); !applied) {
+        if (first)
+            part_.reset();
+        return applied.error();
+    }
+    auto const earlier =
+        board_.target.with([&](target_view& view) { return std::exchange(view.catalogue, published); });
+    if (first) {
+        part_->start();
+        started_part_.store(part_.get(), std::memory_order_release);
+    } else {
+        follow_service_state(*earlier, *published);
+    }
     return base::success();
 }
 
+void agent_role::follow_service_state(catalogue::catalogue const& earlier, catalogue::catalogue const& published) {
+    auto const& name = daemon_.settings().name;
+    bool const was_in_service = earlier.in_service(*earlier.find_target(name));
+    bool const is_in_service = published.in_service(*published.find_target(name));
+    if (was_in_service && !is_in_service)
+        log::write(log::event_kind::target_out_of_service, {{"target", name}});
+    if (!was_in_service && is_in_service) {
+        log::write(log::event_kind::target_in_service, {{"target", name}});
+        part_->on_return_to_service();
+    }
+}
+
+void agent_role::on_configuration_confirmed(base::time_point as_of) {
+    if (auto* const part = started_part_.load(std::memory_order_acquire))
+        part->on_configuration_confirmed(as_of);
+}
+
+membership::standing agent_role::own_standing() const {
+    return daemon_.board().members.with([&](auto& members) {
+        return members ? members->standing_of(daemon_.settings().name, base::clock::now())
+                       : membership::standing::not_in_catalogue;
+    });
+}
+
+void agent_role::follow_membership() {
+    bool const leaving = own_standing() == membership::standing::vm_leaving;
+    board_.target.with([&](target_view& view) { view.vm_leaving = leaving; });
+}
+
+void agent_role::fill_heartbeat(wire::schema::HeartbeatT& content) {
+    // Without a catalogue nothing handles requests yet, so entries must not send any.
+    if (started_part_.load(std::memory_order_acquire) == nullptr)
+        content.load = std::make_unique<wire::schema::LoadHintT>();
+}
+
 base::result<void> agent_role::start() {
     BOOST_OUTCOME_TRYV(operator_server_.listen(daemon_.settings().operator_address));
-    part_->start();
     return daemon_.hub().listen(daemon_.settings().peer_address);
 }
 
@@ -70,17 +114,21 @@
 void agent_role::stop_accepting() {}
 
 bool agent_role::able_to_serve() const {
-    return board_.target.with([](target_view const& view) { return view.reachable; });
+    return board_.target.with([](target_view const& view) { return view.catalogue && view.reachable; });
 }
 
 boost::json::object agent_role::state() const {
     auto const view = board_.target.with([](target_view const& current) { return current; });
     boost::json::object dump;
     dump["role"] = "agent";
-    dump["revision"] = view.catalogue->revision();
-    dump["target"] = {
-        {"reachable", view.reachable}, {"incarnation", view.incarnation}, {"preemptions", view.preemptions}};
-    part_->dump(dump);
+    dump["revision"] = view.catalogue ? view.catalogue->revision() : 0;
+    dump["target"] = {{"reachable", view.reachable},
+                      {"vm_leaving", view.vm_leaving},
+                      {"standing", membership::name_of(own_standing())},
+                      {"incarnation", view.incarnation},
+                      {"preemptions", view.preemptions}};
+    if (auto const* const part = started_part_.load(std::memory_order_acquire))
+        part->dump(dump);
     return dump;
 }
 
--- a/Libraries/agent/engine_part.cpp
+++ b/Libraries/agent/engine_part.cpp
@@ -47,6 +47,10 @@
     return base::success();
 }
 
+void engine_part::on_return_to_service() {
+    board_.admission.with([](auto& slot) { slot->on_return_to_service(base::clock::now()); });
+}
+
 void engine_part::dump(boost::json::object& state) const {
     auto const snapshot = board_.admission.with([](auto& slot) { return slot->snapshot(base::clock::now()); });
     boost::json::array classes;
--- a/Libraries/agent/engine_part.h
+++ b/Libraries/agent/engine_part.h
@@ -15,6 +15,8 @@
 
     base::result<void> apply(catalogue::catalogue_pointer const& published, catalogue::target const& self) override;
     void start() override { generations_.start(); }
+    void on_return_to_service() override;
+    void on_configuration_confirmed(base::time_point) override {}
     void dump(boost::json::object& state) const override;
 
 private:
--- a/Libraries/agent/target_part.h
+++ b/Libraries/agent/target_part.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "base/time.h"
 #include "catalogue/catalogue.h"
 
 #include <boost/json/object.hpp>
@@ -18,6 +19,10 @@
     /// Takes over a catalogue. Called before start and for every new revision.
     virtual base::result<void> apply(catalogue::catalogue_pointer const& published, catalogue::target const& self) = 0;
     virtual void start() = 0;
+    /// The target is offered for new work again, as cold.
+    virtual void on_return_to_service() = 0;
+    /// The catalogue in force was the newest one at this time.
+    virtual void on_configuration_confirmed(base::time_point as_of) = 0;
     /// Adds this part to the state dump.
     virtual void dump(boost::json::object& state) const = 0;
 };
--- a/Libraries/entry/agent_links.h
+++ b/Libraries/entry/agent_links.h
@@ -40,6 +40,7 @@
     template <class Message>
     void pass_on(link::connection& source, Message message);
     void send_remembered(link::connection& target);
+    void set_link(std::string const& target, bool up);
     void update_hint(std::string const& target, wire::schema::LoadHintT const& hint);
 
     process::runtime& daemon_;
--- a/Libraries/link/hub.cpp
+++ b/Libraries/link/hub.cpp
@@ -38,8 +38,18 @@
 
 hub::~hub() = default;
 
+void hub::add_observer(hub_observer& observer) {
+    std::scoped_lock const lock{mutex_};
+    auto const count = observer_count_.load();
+    observers_.at(count) = &observer;
+    observer_count_.store(count + 1);
+}
+
 void hub::set_handler(wire::message_kind kind, frame_handler handler) {
-    handlers_.at(static_cast<std::size_t>(kind)) = std::move(handler);
+    auto owned = std::make_unique<frame_handler const>(std::move(handler));
+    handlers_.at(static_cast<std::size_t>(kind)).store(owned.get(), std::memory_order_release);
+    std::scoped_lock const lock{mutex_};
+    owned_handlers_.push_back(std::move(owned));
 }
 
 base::result<void> hub::listen(std::string const& address) {
@@ -92,11 +102,23 @@
 }
 
 void hub::connect(std::string const& peer, std::string const& address) {
+    open_link(peer, peer, address);
+}
+
+void hub::connect_address(std::string const& address) {
+    open_link(address, {}, address);
+}
+
+void hub::disconnect_address(std::string const& address) {
+    disconnect(address);
+}
+
+void hub::open_link(std::string const& key, std::string const& peer, std::string const& address) {
     boost::intrusive_ptr<outbound_link> replaced;
     boost::intrusive_ptr<outbound_link> const opened{new outbound_link{*this, peer, address}};
     {
         std::scoped_lock const lock{mutex_};
-        auto& slot = outbound_[peer];
+        auto& slot = outbound_[key];
         if (slot && slot->address() == address)
             return;
         replaced = std::exchange(slot, opened);
@@ -119,6 +141,11 @@
     ended->stop();
 }
 
+bool hub::keeps(std::string_view peer) const {
+    std::scoped_lock const lock{mutex_};
+    return outbound_.contains(peer);
+}
+
 connection_pointer hub::find(std::string_view peer) const {
     std::scoped_lock const lock{mutex_};
     auto const [first, last] = ready_.equal_range(peer);
@@ -140,14 +167,14 @@
         std::scoped_lock const lock{mutex_};
         ready_.emplace(source.peer().process, connection_pointer{&source});
     }
-    for (auto* const observer : observers_)
+    for (auto* const observer : observers())
         observer->on_up(source);
 }
 
 void hub::on_frame(connection& source, wire::frame const& received) {
-    auto const& handler = handlers_.at(static_cast<std::size_t>(received.kind()));
-    if (handler) {
-        handler(source, received);
+    auto const* handler = handlers_.at(static_cast<std::size_t>(received.kind())).load(std::memory_order_acquire);
+    if (handler != nullptr) {
+        (*handler)(source, received);
         return;
     }
     source.close(base::make_error(base::error_kind::protocol_error,
@@ -155,7 +182,7 @@
 }
 
 void hub::on_heartbeat(connection& source, wire::schema::HeartbeatT const& heartbeat) {
-    for (auto* const observer : observers_)
+    for (auto* const observer : observers())
         observer->on_heartbeat(source, heartbeat);
 }
 
@@ -175,13 +202,13 @@
     if (!was_ready)
         return;
     metrics_.add(metrics::counter_kind::links_lost);
-    for (auto* const observer : observers_)
+    for (auto* const observer : observers())
         observer->on_down(source, reason);
 }
 
 wire::schema::HeartbeatT hub::heartbeat_content() {
     wire::schema::HeartbeatT content;
-    for (auto* const observer : observers_)
+    for (auto* const observer : observers())
         observer->fill_heartbeat(content);
     return content;
 }
