--- a/Libraries/agent/generation_controller.cpp
+++ b/Libraries/agent/generation_controller.cpp
@@ -219,7 +219,8 @@
 }
 
 void generation_controller::admit(generation_run& run, admission::admission_decision const& decision) {
-    run.start(decision.priority);
+    auto const incarnation = board_.target.with([](target_view const& view) { return view.incarnation; });
+    run.start(decision.priority, incarnation);
 }
 
 void generation_controller::wait(generation_run&, admission::admission_decision const&) {}
--- a/Libraries/agent/generation_run.cpp
+++ b/Libraries/agent/generation_run.cpp
@@ -34,7 +34,8 @@
     , grace_timer_(strand_)
     , destination_(std::move(destination)) {}
 
-void generation_run::start(std::uint32_t priority) {
+void generation_run::start(std::uint32_t priority, std::uint64_t target_incarnation) {
+    target_incarnation_ = target_incarnation;
     request_.engine.priority = priority;
     wire::schema::AdmittedT admitted;
     admitted.generation = generation();
@@ -70,7 +71,7 @@
 asio::awaitable<void> generation_run::execute(run_pointer, bool adopted) {
     auto opened = co_await open_stream(adopted);
     if (!opened) {
-        fail(opened.error());
+        fail(opened.error(), co_await crashed_incarnation());
         co_return;
     }
     co_await pass_on(std::move(opened).value());
@@ -81,6 +82,9 @@
         co_return co_await reopen_stream();
     auto opened = co_await engine_.start(request_.engine);
     if (!opened) {
+        // An engine that was not reached did not crash because of this request.
+        if (opened.error().progress == http::request_progress::not_sent)
+            target_incarnation_ = 0;
         co_return base::make_error(base::error_kind::target_failed, opened.error().cause.message);
     }
     co_return std::move(opened).value();
@@ -101,6 +105,13 @@
     co_return base::make_error(base::error_kind::generation_lost, "the engine no longer holds the generation");
 }
 
+asio::awaitable<std::uint64_t> generation_run::crashed_incarnation() {
+    if (target_incarnation_ == 0)
+        co_return 0;
+    auto const status = co_await engine_.status();
+    co_return !status || status.value().incarnation != target_incarnation_ ? target_incarnation_ : 0;
+}
+
 asio::awaitable<void> generation_run::pass_on(line_stream_pointer stream) {
     while (true) {
         {
@@ -138,7 +149,7 @@
             stream->close();
             auto reopened = co_await reopen_stream();
             if (!reopened) {
-                fail(reopened.error());
+                fail(reopened.error(), co_await crashed_incarnation());
                 co_return;
             }
             stream = std::move(reopened).value();
@@ -274,11 +285,12 @@
     end(std::move(message), admission::stream_end::completed);
 }
 
-void generation_run::fail(base::error const& reason) {
+void generation_run::fail(base::error const& reason, std::uint64_t crashed_incarnation) {
     wire::schema::GenerationEndT message;
     message.failed = true;
     message.error = static_cast<std::uint8_t>(reason.kind);
     message.message = reason.message;
+    message.crashed_incarnation = crashed_incarnation;
     end(std::move(message), admission::stream_end::failed);
 }
 
--- a/Libraries/agent/generation_run.h
+++ b/Libraries/agent/generation_run.h
@@ -57,7 +57,7 @@
     std::string const& generation() const { return request_.engine.generation; }
 
     /// Starts the generation at the engine.
-    void start(std::uint32_t priority);
+    void start(std::uint32_t priority, std::uint64_t target_incarnation);
     /// Continues a generation that an earlier agent process started at the engine.
     void adopt(std::uint32_t from_index);
     /// Refuses a run that has not started.
@@ -73,12 +73,14 @@
     boost::asio::awaitable<void> execute(run_pointer self, bool adopted);
     boost::asio::awaitable<base::result<line_stream_pointer>> open_stream(bool adopted);
     boost::asio::awaitable<base::result<line_stream_pointer>> reopen_stream();
+    /// The incarnation that the run started on, when the engine is gone or another one; otherwise zero.
+    boost::asio::awaitable<std::uint64_t> crashed_incarnation();
     boost::asio::awaitable<void> wait_for_room();
     boost::asio::awaitable<void> pass_on(line_stream_pointer stream);
     void deliver(std::string text);
     void pump();
     void finish(std::string reason);
-    void fail(base::error const& reason);
+    void fail(base::error const& reason, std::uint64_t crashed_incarnation = 0);
     void end(wire::schema::GenerationEndT message, admission::stream_end outcome);
     std::uint32_t next_index();
 
@@ -86,6 +88,8 @@
     engine_client const& engine_;
     run_request request_;
     run_observer& observer_;
+    /// Zero before the request may have reached the engine.
+    std::uint64_t target_incarnation_{0};
     boost::asio::steady_timer room_timer_;
     boost::asio::steady_timer grace_timer_;
 
--- a/Libraries/entry/blackboard.h
+++ b/Libraries/entry/blackboard.h
@@ -4,6 +4,7 @@
 #include "catalogue/catalogue.h"
 #include "entry/attempt.h"
 #include "entry/limit_state.h"
+#include "entry/poison_controller.h"
 #include "retry/hedge_decision.h"
 #include "retry/retry_budget.h"
 #include "routing/target_table.h"
@@ -24,6 +25,7 @@
     base::guarded<catalogue::catalogue_pointer, base::lock_rank::configuration> catalogue;
     base::guarded<routing_state, base::lock_rank::routing> routing;
     guarded_limits limits;
+    guarded_suspects suspects;
     guarded_attempts attempts;
 };
 
--- a/Libraries/entry/caller_handler.cpp
+++ b/Libraries/entry/caller_handler.cpp
@@ -130,7 +130,7 @@
         std::to_string(daemon_.identity().incarnation % 1000000) + "-" + std::to_string(next_request_.fetch_add(1));
     auto writer = make_completion_writer(client, request.value().stream, identifier, request.value().model);
     auto const session =
-        std::make_shared<generation_session>(daemon_, board_, links_, std::move(from).value(),
+        std::make_shared<generation_session>(daemon_, board_, links_, poison_, std::move(from).value(),
                                              std::move(request).value(), std::move(writer), client->executor());
     client->watch_for_close([session] { session->on_caller_gone(); });
     co_await session->run();
--- a/Libraries/entry/caller_handler.h
+++ b/Libraries/entry/caller_handler.h
@@ -4,6 +4,7 @@
 #include "entry/blackboard.h"
 #include "entry/caller.h"
 #include "entry/limit_controller.h"
+#include "entry/poison_controller.h"
 #include "http/server.h"
 #include "process/role.h"
 #include "process/runtime.h"
@@ -17,11 +18,12 @@
 class caller_handler : public http::request_handler {
 public:
     caller_handler(process::runtime& daemon, blackboard& board, agent_links& links, limit_controller& limits,
-                   process::role& served)
+                   poison_controller& poison, process::role& served)
         : daemon_(daemon)
         , board_(board)
         , links_(links)
         , limits_(limits)
+        , poison_(poison)
         , role_(served) {}
 
     boost::asio::awaitable<void> handle(http::session_pointer client, http::request received) override;
@@ -47,6 +49,7 @@
     blackboard& board_;
     agent_links& links_;
     limit_controller& limits_;
+    poison_controller& poison_;
     process::role& role_;
     std::atomic<std::uint64_t> next_request_{1};
 };
--- a/Libraries/entry/entry_role.cpp
+++ b/Libraries/entry/entry_role.cpp
@@ -42,6 +42,7 @@
     std::unique_ptr<entry_role> created{new entry_role{daemon}};
     created->links_.start();
     created->limits_.start();
+    created->poison_.start();
     BOOST_OUTCOME_TRYV(created->apply(published));
     return created;
 }
@@ -50,7 +51,8 @@
     : daemon_(daemon)
     , links_(daemon, board_)
     , limits_(daemon, board_.limits)
-    , callers_(daemon, board_, links_, limits_, *this)
+    , poison_(daemon, board_.suspects)
+    , callers_(daemon, board_, links_, limits_, poison_, *this)
     , caller_server_(daemon.context(), limits_of(daemon.settings().limits), callers_)
     , operators_(daemon, *this)
     , operator_server_(daemon.context(), {}, operators_) {}
@@ -106,6 +108,7 @@
     dump["sessions"] = caller_server_.open_sessions();
     dump["targets"] = std::move(targets);
     dump["limits"] = limits_.state();
+    dump["poison"] = poison_.state();
     return dump;
 }
 
--- a/Libraries/entry/entry_role.h
+++ b/Libraries/entry/entry_role.h
@@ -4,6 +4,7 @@
 #include "entry/blackboard.h"
 #include "entry/caller_handler.h"
 #include "entry/limit_controller.h"
+#include "entry/poison_controller.h"
 #include "http/server.h"
 #include "process/operator_handler.h"
 #include "process/role.h"
@@ -34,6 +35,7 @@
     mutable blackboard board_;
     agent_links links_;
     limit_controller limits_;
+    poison_controller poison_;
     caller_handler callers_;
     http::server caller_server_;
     process::operator_handler operators_;
--- a/Libraries/entry/generation_session.cpp
+++ b/Libraries/entry/generation_session.cpp
@@ -35,12 +35,13 @@
 
 } // namespace
 
-generation_session::generation_session(process::runtime& daemon, blackboard& board, agent_links& links, caller from,
-                                       completion_request request, std::unique_ptr<completion_writer> writer,
-                                       asio::any_io_executor executor)
+generation_session::generation_session(process::runtime& daemon, blackboard& board, agent_links& links,
+                                       poison_controller& poison, caller from, completion_request request,
+                                       std::unique_ptr<completion_writer> writer, asio::any_io_executor executor)
     : daemon_(daemon)
     , board_(board)
     , links_(links)
+    , poison_(poison)
     , caller_(std::move(from))
     , request_(std::move(request))
     , writer_(std::move(writer))
@@ -48,6 +49,9 @@
     , deadline_timer_(executor_)
     , mailbox_(new mailbox{executor_})
     , prefix_(base::hash_text(request_.prompt.substr(0, prefix_bytes), base::hash_text(request_.model)))
+    , fingerprint_(base::hash_text(request_.prompt,
+                                   base::hash_text(request_.model, base::hash_text(caller_.organisation->name)) +
+                                       request_.max_tokens))
     , started_at_(base::clock::now()) {}
 
 asio::awaitable<void> generation_session::run() {
@@ -107,6 +111,11 @@
 }
 
 asio::awaitable<generation_session::step> generation_session::attempt_once() {
+    if (poison_.refuses(fingerprint_)) {
+        // After an attempt, "not run" would be false.
+        auto const kind = attempts_ == 0 ? base::error_kind::poison_request : base::error_kind::generation_lost;
+        co_return co_await fail(base::make_error(kind, "targets crashed while they ran this request"));
+    }
     if (auto const decision = route(); decision.refusal)
         co_return co_await fail(base::make_error(*decision.refusal, "no target can take the request", no_target_retry));
     tried_.push_back(target_);
@@ -157,6 +166,7 @@
     message.prompt = request_.prompt;
     message.max_tokens = request_.max_tokens;
     message.attempt_number = attempts_;
+    message.fingerprint = fingerprint_;
     if (caller_.deadline) {
         auto const left =
             std::chrono::floor<base::milliseconds>(*caller_.deadline - base::clock::now()) - network_transit;
@@ -282,6 +292,8 @@
         co_return std::nullopt;
     }
     if (message.failed) {
+        if (message.crashed_incarnation != 0)
+            poison_.on_crash(fingerprint_, target_, message.crashed_incarnation);
         auto const reason = error_of(message.error, std::move(message.message));
         report(routing::attempt_outcome::failure);
         co_return co_await recover(current, reason, true);
@@ -290,6 +302,7 @@
         co_return step::resume;
     report(routing::attempt_outcome::success);
     daemon_.metrics().add(metrics::counter_kind::answers_ok);
+    poison_.on_success(fingerprint_);
     std::ignore = co_await writer_->finish(std::move(message.finish_reason));
     co_return step::finished;
 }
--- a/Libraries/entry/generation_session.h
+++ b/Libraries/entry/generation_session.h
@@ -21,8 +21,8 @@
 /// Leads one generation from a caller's request to its end over as many attempts as it may take.
 class generation_session {
 public:
-    generation_session(process::runtime& daemon, blackboard& board, agent_links& links, caller from,
-                       completion_request request, std::unique_ptr<completion_writer> writer,
+    generation_session(process::runtime& daemon, blackboard& board, agent_links& links, poison_controller& poison,
+                       caller from, completion_request request, std::unique_ptr<completion_writer> writer,
                        boost::asio::any_io_executor executor);
 
     boost::asio::awaitable<void> run();
@@ -60,6 +60,7 @@
     process::runtime& daemon_;
     blackboard& board_;
     agent_links& links_;
+    poison_controller& poison_;
     caller caller_;
     completion_request request_;
     std::unique_ptr<completion_writer> writer_;
@@ -68,6 +69,8 @@
     mailbox_pointer mailbox_;
 
     std::uint64_t prefix_{0};
+    /// The same for every request of the organisation with the same service and content.
+    std::uint64_t fingerprint_{0};
     std::string target_;
     std::vector<std::string> tried_;
     std::uint32_t attempts_{0};
--- a/Tests/process/limits/fleet.h
+++ b/Tests/process/limits/fleet.h
@@ -112,6 +112,11 @@
         return read.value();
     }
 
+    std::string log_of(std::string const& name) const {
+        std::ifstream file{folder_ / (name + ".log")};
+        return {std::istreambuf_iterator<char>{file}, {}};
+    }
+
     /// Ends a process at once, without a planned stop.
     void kill(std::string const& name) {
         auto const found = children_.find(name);
