Refuse requests that crashed two targets

Cause: one request can crash every engine that runs it, and its caller sends it again through any entry. Change: agents report that the engine crashed while a generation ran; entries record strikes, exchange crash notices and refuse a fingerprint with strikes on two targets. After an attempt of the same request the answer is generation_lost, because "not run" would be false. The test reads the engines' incarnations instead of the agents' logs, which lag by up to one poll.

--- a/Libraries/entry/blackboard.h
+++ b/Libraries/entry/blackboard.h
@@ -4,6 +4,7 @@
 #include "catalogue/catalogue.h"
 #include "entry/attempt.h"
 #include "entry/limit_state.h"
+#include "entry/poison_controller.h"
 #include "once/call_tracker.h"
 #include "retry/hedge_decision.h"
 #include "retry/retry_budget.h"
@@ -25,6 +26,7 @@
     base::guarded<catalogue::catalogue_pointer, base::lock_rank::configuration> catalogue;
     base::guarded<routing_state, base::lock_rank::routing> routing;
     guarded_limits limits;
+    guarded_suspects suspects;
     base::guarded<once::call_tracker, base::lock_rank::keys> calls{once::call_tracker_options{}};
     guarded_attempts attempts;
 };
