Tell a closed caller from a stale wake-up

Cause: a request that arrives in two segments can leave a readiness event behind after its data has been read; the entry then took the caller for gone and closed the connection without an answer. Ruled out: reuse of local ports and the planned stop, since no daemon was stopping. Change: the watch peeks at the socket and waits again when it is open.

--- a/Libraries/http/session.cpp
+++ b/Libraries/http/session.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <cerrno>
+#include <sys/socket.h>
 #include <utility>
 
 namespace cyclamenledge::http {
@@ -150,10 +152,14 @@
         [self = session_pointer{this}, notify = std::move(on_close)](beast::error_code const& code) {
             if (code)
                 return;
-            // A readable socket without data has been closed; with data it holds a pipelined request.
-            beast::error_code available_code;
-            if (self->stream_.socket().available(available_code) == 0)
+            // The wake-up may belong to data that has been read already, so only the socket can tell that it is closed.
+            char byte = 0;
+            auto const received = ::recv(self->stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (received < 0 && (errno == EAGAIN || errno == EINTR))
+                self->watch_for_close(notify);
+            else if (received <= 0)
                 notify();
+            // Data belongs to a pipelined request; that caller is still there.
         });
 }
 
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -38,6 +38,9 @@
     done
 }
 
+echo "== Checking settings and catalogues"
+"$control" check examples/vatuloa/*.yaml examples/fjordvinge/*.yaml || fail "the examples are invalid"
+
 entry_callers=127.1.1.100:21111
 entry_operators=127.1.1.100:21121
 key=vatuloa-suva-kiosk-1
--- a/Tests/process/generation/input_test.cpp
+++ b/Tests/process/generation/input_test.cpp
@@ -1,7 +1,9 @@
 #include "generation_world.h"
+#include "network/endpoint.h"
 #include "support/table_test.h"
 #include "wire/frame.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -35,6 +37,7 @@
 class input_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(input_test);
     CPPUNIT_TEST(malformed_http);
+    CPPUNIT_TEST(split_requests);
     CPPUNIT_TEST(malformed_frames);
     CPPUNIT_TEST(slow_caller);
     CPPUNIT_TEST_SUITE_END();
@@ -68,6 +71,31 @@
         assert_lives(world);
     }
 
+    // Guards against a request that arrives in two segments being taken for a caller that has closed: a readiness event
+    // of the second segment may be handled after the data has been read.
+    void split_requests() {
+        constexpr std::size_t requests = 400;
+        generation_world world;
+        world.add_target("text-1");
+        world.start_all({"--speed", "1000"});
+        std::string const body = R"({"model":"text","prompt":"split length=1","max_tokens":1})";
+        auto const head = "POST /v1/completions HTTP/1.1\r\nHost: a\r\nConnection: close\r\nAuthorization: Bearer " +
+                          world.key() + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        auto const endpoint = network::parse_endpoint(world.caller_address()).value();
+        for (std::size_t i = 0; i < requests; ++i) {
+            boost::asio::io_context context;
+            boost::asio::ip::tcp::socket socket{context};
+            socket.connect(endpoint);
+            socket.set_option(boost::asio::ip::tcp::no_delay{true});
+            boost::asio::write(socket, boost::asio::buffer(head));
+            boost::asio::write(socket, boost::asio::buffer(body));
+            std::string answer;
+            boost::system::error_code code;
+            boost::asio::read(socket, boost::asio::dynamic_buffer(answer), code);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("request " + std::to_string(i), std::string{"HTTP/1.1 "}, answer.substr(0, 9));
+        }
+    }
+
     // Guards against frames of another process that end the agent or the entry, or hold a connection for ever.
     void malformed_frames() {
         generation_world world;
