--- /dev/null
+++ b/Libraries/forwarding/event_splitter.cpp
@@ -0,0 +1,68 @@
+#include "forwarding/event_splitter.h"
+
+#include <charconv>
+
+namespace cyclamenledge::forwarding {
+
+namespace {
+
+std::optional<std::uint64_t> id_of(std::string_view event) {
+    constexpr std::string_view field = "id:";
+    while (!event.empty()) {
+        auto const end = event.find('\n');
+        auto line = event.substr(0, end);
+        if (line.starts_with(field)) {
+            line.remove_prefix(field.size());
+            while (line.starts_with(' '))
+                line.remove_prefix(1);
+            std::uint64_t value = 0;
+            auto const [last, code] = std::from_chars(line.data(), line.data() + line.size(), value);
+            if (code == std::errc{})
+                return value;
+            return std::nullopt;
+        }
+        if (end == std::string_view::npos)
+            break;
+        event.remove_prefix(end + 1);
+    }
+    return std::nullopt;
+}
+
+/// The length of the blank line that ends an event at the place, or zero.
+std::size_t blank_line_at(std::string_view text, std::size_t place) {
+    if (text.compare(place, 2, "\n\n") == 0)
+        return 2;
+    if (text.compare(place, 4, "\r\n\r\n") == 0)
+        return 4;
+    return 0;
+}
+
+} // namespace
+
+void event_splitter::append(std::string_view bytes) {
+    if (consumed_ > 0) {
+        buffer_.erase(0, consumed_);
+        scanned_ -= consumed_;
+        consumed_ = 0;
+    }
+    buffer_.append(bytes);
+}
+
+std::optional<stream_event> event_splitter::next() {
+    std::string_view const text{buffer_};
+    for (; scanned_ < text.size(); ++scanned_) {
+        auto const blank = blank_line_at(text, scanned_);
+        if (blank == 0)
+            continue;
+        auto const bytes = text.substr(consumed_, scanned_ + blank - consumed_);
+        scanned_ += blank;
+        consumed_ = scanned_;
+        return stream_event{id_of(bytes), bytes};
+    }
+    // A blank line may begin in the last three bytes and end in the next part.
+    constexpr std::size_t longest_partial_blank_line = 3;
+    scanned_ = text.size() - std::min(text.size() - consumed_, longest_partial_blank_line);
+    return std::nullopt;
+}
+
+} // namespace cyclamenledge::forwarding
--- /dev/null
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -0,0 +1,279 @@
+#include "forwarding/fleet_view.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenledge::forwarding {
+
+namespace {
+
+// Load at which another failure domain, or another region, is preferred to a target nearby. A place in another region
+// costs two more round trips of a wide-area link and its price for each byte.
+constexpr double domain_distance = 0.05;
+constexpr double region_distance = 0.25;
+// Spreads entries with equal views over targets of nearly equal load.
+constexpr double score_jitter = 0.06;
+// Share of its memory that an engine is filled up to, so that outputs longer than expected find room.
+constexpr double full_share = 0.92;
+// Tokens that a running request is expected to add, when its size is not known to this process.
+constexpr double growth_per_run = 350;
+// Prompt tokens in the queue of an engine that weigh as much as its whole memory. The first event waits for all of them.
+constexpr double heavy_prefill_tokens = 16000;
+// Without reports, the slots of an engine that one entry fills.
+constexpr double blind_slot_share = 0.25;
+// A cold target bears a rate; an entry sends its part of it and leaves a reserve for entries that are not counted.
+constexpr double cold_share = 0.8;
+
+bool contains(std::vector<std::string> const* regions, std::string const& region) {
+    return regions == nullptr || regions->empty() || std::ranges::find(*regions, region) != regions->end();
+}
+
+} // namespace
+
+bool target_view::in_doubt(base::time_point now) const {
+    return removed && removal_in_doubt && now - removed_at < fleet_view::doubt_lifetime;
+}
+
+bool target_view::leaving(base::time_point now) const {
+    // While it is open whether a target is back or gone, it is used as long as it answers.
+    return (removed && !in_doubt(now)) || record.state == target_state::leaving || (report && report->leaving);
+}
+
+fleet_view::fleet_view(std::string failure_domain, std::map<std::string, std::string> regions, std::uint64_t seed)
+    : failure_domain_(std::move(failure_domain))
+    , regions_(std::move(regions))
+    , random_(seed) {}
+
+std::string const& fleet_view::region_of(std::string const& failure_domain) const {
+    static std::string const unknown;
+    auto const found = regions_.find(failure_domain);
+    return found == regions_.end() ? unknown : found->second;
+}
+
+void fleet_view::update_target(target_record const& record, base::time_point now) {
+    auto const [place, fresh] = targets_.try_emplace(record.id);
+    auto& target = place->second;
+    if (!fresh && target.record.started_at != record.started_at) {
+        // A new incarnation under an old id has none of the load, faults or memory of before.
+        auto const open = target.open_requests;
+        target = {};
+        target.open_requests = open;
+    }
+    target.record = record;
+    target.region = region_of(record.failure_domain);
+    target.removed = false;
+    if (record.cold_left.count() > 0)
+        target.cold_until = now + record.cold_left;
+}
+
+void fleet_view::remove_target(std::string const& id, bool store_in_doubt, base::time_point now) {
+    auto const found = targets_.find(id);
+    if (found == targets_.end() || found->second.removed)
+        return;
+    found->second.removed = true;
+    found->second.removal_in_doubt = store_in_doubt;
+    found->second.removed_at = now;
+}
+
+void fleet_view::set_evacuated(std::string const& failure_domain, bool evacuated) {
+    if (evacuated)
+        evacuated_.insert(failure_domain);
+    else
+        evacuated_.erase(failure_domain);
+}
+
+void fleet_view::update_report(std::string const& address, engine_report const& report, base::time_point now) {
+    entry_count_ = std::max(1U, report.entries);
+    for (auto& [id, target] : targets_) {
+        if (target.record.address != address || target.record.started_at != report.started_at)
+            continue;
+        target.report = report;
+        target.reported_at = now;
+        while (!target.promises.empty() && now - target.promises.front().at > report_lag)
+            target.promises.pop_front();
+    }
+}
+
+bool fleet_view::reported_leaving(std::string const& address) const {
+    return std::ranges::any_of(targets_, [&](auto const& entry) {
+        auto const& target = entry.second;
+        return target.record.address == address && target.report && target.report->leaving;
+    });
+}
+
+void fleet_view::mark_leaving(std::string const& id) {
+    if (auto const found = targets_.find(id); found != targets_.end())
+        found->second.record.state = target_state::leaving;
+}
+
+void fleet_view::mark_cold(std::string const& id, base::milliseconds left, base::time_point now) {
+    if (auto const found = targets_.find(id); found != targets_.end())
+        found->second.cold_until = std::max(found->second.cold_until, now + left);
+}
+
+engine_capacity const* fleet_view::capacity(target_view const& target) const {
+    auto const* service = routes_ ? routes_->find_service(target.record.service) : nullptr;
+    return service != nullptr && service->engine ? &*service->engine : nullptr;
+}
+
+bool fleet_view::usable(target_view const& target, placement_request const& request, base::time_point now) const {
+    if (target.record.service != request.service || evacuated_.contains(target.record.failure_domain))
+        return false;
+    if (target.leaving(now))
+        return false;
+    if (!contains(request.route_homes, target.region) || !contains(request.organisation_homes, target.region))
+        return false;
+    return std::ranges::find(request.excluded, target.record.id) == request.excluded.end();
+}
+
+double fleet_view::promised_tokens(target_view const& target, base::time_point now) const {
+    double sum = 0;
+    bool const reported = target.report && now - target.reported_at < report_lifetime;
+    for (auto const& promise : target.promises) {
+        if (!reported || target.reported_at - promise.at < report_lag)
+            sum += promise.tokens;
+    }
+    return sum;
+}
+
+bool fleet_view::has_room(target_view const& target, generation_size const& size, double room_share,
+                          base::time_point now) const {
+    auto const* engine = capacity(target);
+    if (engine == nullptr)
+        return true;
+    if (!target.report || now - target.reported_at >= report_lifetime) {
+        // Other entries are not seen either, so each one uses only a part of the slots.
+        return target.open_requests < std::max(1.0, blind_slot_share * engine->slots);
+    }
+    auto const& report = *target.report;
+    auto const total = report.total_tokens > 0 ? report.total_tokens : engine->memory_tokens;
+    double const committed =
+        report.used_tokens + growth_per_run * report.running + promised_tokens(target, now) + size.expected_memory();
+    return committed <= room_share * total && report.running + report.queued < engine->slots;
+}
+
+double fleet_view::distance(target_view const& target) const {
+    if (target.record.failure_domain == failure_domain_)
+        return 0;
+    return target.region == region_of(failure_domain_) ? domain_distance : region_distance;
+}
+
+double fleet_view::load(target_view const& target, std::optional<generation_size> const& size,
+                        base::time_point now) const {
+    auto const* engine = capacity(target);
+    if (engine == nullptr || !size)
+        return static_cast<double>(target.open_requests) / std::max(1U, target.record.slots);
+    if (!target.report || now - target.reported_at >= report_lifetime)
+        return 0.5 + static_cast<double>(target.open_requests) / std::max(1U, engine->slots);
+    double prefill = 0;
+    for (auto const& promise : target.promises)
+        prefill += promise.prompt;
+    auto const& report = *target.report;
+    double const total = std::max(1U, report.total_tokens);
+    double const committed = report.used_tokens + growth_per_run * report.running + promised_tokens(target, now);
+    return committed / total + prefill / heavy_prefill_tokens + static_cast<double>(report.queued) / engine->slots;
+}
+
+bool fleet_view::allowed_while_cold(target_view& target, base::time_point now) const {
+    if (now >= target.cold_until)
+        return true;
+    auto const* service = routes_ ? routes_->find_service(target.record.service) : nullptr;
+    if (service == nullptr || service->cold_rate <= 0)
+        return true;
+    while (!target.cold_sends.empty() && now - target.cold_sends.front() > base::seconds{1})
+        target.cold_sends.pop_front();
+    auto const part = std::max(1.0, cold_share * service->cold_rate / entry_count_);
+    return static_cast<double>(target.cold_sends.size()) < part;
+}
+
+placement fleet_view::choose(placement_request const& request, base::time_point now) {
+    std::vector<candidate> healthy;
+    std::vector<candidate> ejected;
+    std::vector<candidate> crowded;
+    bool any_usable = false;
+    for (auto& [id, target] : targets_) {
+        if (!usable(target, request, now))
+            continue;
+        any_usable = true;
+        if (!allowed_while_cold(target, now))
+            continue;
+        double const score = load(target, request.size, now) + distance(target) + target.health.failure_share() +
+                             score_jitter * random_.unit();
+        if (request.size && !has_room(target, *request.size, full_share, now))
+            crowded.push_back({&target, score});
+        else if (target.health.ejected(now))
+            ejected.push_back({&target, score});
+        else
+            healthy.push_back({&target, score});
+    }
+    auto const best = [](std::vector<candidate> const& list) {
+        return std::ranges::min_element(list, {}, &candidate::score)->target->record.id;
+    };
+    if (!healthy.empty())
+        return {placement_kind::placed, best(healthy), "least_loaded"};
+    // An ejection must not leave a service without targets.
+    if (!ejected.empty())
+        return {placement_kind::placed, best(ejected), "all_others_full_or_ejected"};
+    if (!crowded.empty() && request.accept_crowded)
+        return {placement_kind::placed, best(crowded), "crowded"};
+    if (any_usable)
+        return {placement_kind::wait, {}, "no_room"};
+    return {placement_kind::none, {}, "no_target"};
+}
+
+placement fleet_view::choose_copy_holder(placement_request const& request, std::string const& source,
+                                         double room_share, base::time_point now) {
+    target_view* best = nullptr;
+    double best_score = 0;
+    for (auto& [id, target] : targets_) {
+        if (id == source || !usable(target, request, now) || target.health.ejected(now) ||
+            !allowed_while_cold(target, now) || (request.size && !has_room(target, *request.size, room_share, now)))
+            continue;
+        double const score = load(target, request.size, now) + distance(target) + score_jitter * random_.unit();
+        if (best == nullptr || score < best_score) {
+            best = &target;
+            best_score = score;
+        }
+    }
+    if (best == nullptr)
+        return {placement_kind::none, {}, "no_room_for_a_copy"};
+    return {placement_kind::placed, best->record.id, "least_loaded"};
+}
+
+void fleet_view::begin_request(std::string const& id, std::optional<generation_size> const& size,
+                               base::time_point now) {
+    auto const found = targets_.find(id);
+    if (found == targets_.end())
+        return;
+    auto& target = found->second;
+    ++target.open_requests;
+    if (size)
+        target.promises.push_back({now, size->expected_memory(), size->prompt});
+    if (now < target.cold_until)
+        target.cold_sends.push_back(now);
+}
+
+void fleet_view::end_request(std::string const& id) {
+    auto const found = targets_.find(id);
+    if (found != targets_.end() && found->second.open_requests > 0)
+        --found->second.open_requests;
+}
+
+void fleet_view::record_outcome(std::string const& id, target_outcome outcome, base::time_point now) {
+    if (auto const found = targets_.find(id); found != targets_.end())
+        found->second.health.record(outcome, now);
+}
+
+target_view const* fleet_view::find(std::string const& id) const {
+    auto const found = targets_.find(id);
+    return found == targets_.end() ? nullptr : &found->second;
+}
+
+void fleet_view::expire(base::time_point now) {
+    std::erase_if(targets_, [&](auto const& entry) {
+        auto const& target = entry.second;
+        return target.removed && target.open_requests == 0 && now - target.removed_at > removed_lifetime;
+    });
+}
+
+} // namespace cyclamenledge::forwarding
--- /dev/null
+++ b/Libraries/forwarding/publication_table.cpp
@@ -0,0 +1,57 @@
+#include "forwarding/publication_table.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cyclamenledge::forwarding {
+
+bool publication_table::apply(publication change) {
+    newest_ = std::max(newest_, change.revision);
+    auto const [place, fresh] = items_.try_emplace({change.kind, change.name});
+    if (!fresh && place->second.revision >= change.revision)
+        return false;
+    place->second = std::move(change);
+    return true;
+}
+
+std::vector<publication> publication_table::reconcile(publication_listing listing) {
+    std::vector<publication> changes;
+    std::set<key> listed;
+    for (auto& item : listing.items) {
+        listed.emplace(item.kind, item.name);
+        if (apply(item))
+            changes.push_back(std::move(item));
+    }
+    newest_ = std::max(newest_, listing.as_of);
+    for (auto& [name, item] : items_) {
+        bool const covered = std::ranges::find(listing.kinds, item.kind) != listing.kinds.end();
+        if (!covered || item.removed || listed.contains(name) || item.revision > listing.as_of)
+            continue;
+        item.removed = true;
+        item.revision = listing.as_of;
+        item.text.clear();
+        changes.push_back(item);
+    }
+    return changes;
+}
+
+std::vector<publication> publication_table::since(std::uint64_t revision) const {
+    std::vector<publication> changes;
+    for (auto const& [name, item] : items_) {
+        if (item.revision > revision)
+            changes.push_back(item);
+    }
+    std::ranges::sort(changes, {}, &publication::revision);
+    return changes;
+}
+
+void publication_table::forget_removals(std::uint64_t up_to) {
+    std::erase_if(items_, [&](auto const& entry) { return entry.second.removed && entry.second.revision <= up_to; });
+}
+
+publication const* publication_table::find(publication_kind kind, std::string const& name) const {
+    auto const found = items_.find({kind, name});
+    return found == items_.end() ? nullptr : &found->second;
+}
+
+} // namespace cyclamenledge::forwarding
--- /dev/null
+++ b/Libraries/forwarding/retry_allowance.cpp
@@ -0,0 +1,35 @@
+#include "forwarding/retry_allowance.h"
+
+#include <algorithm>
+
+namespace cyclamenledge::forwarding {
+
+void retry_allowance::forget(base::time_point now) {
+    auto const drop = [&](std::deque<base::time_point>& times) {
+        while (!times.empty() && now - times.front() > bound_.window)
+            times.pop_front();
+    };
+    drop(requests_);
+    drop(spent_);
+}
+
+void retry_allowance::count_request(base::time_point now) {
+    forget(now);
+    requests_.push_back(now);
+}
+
+bool retry_allowance::try_spend(std::uint32_t entries, base::time_point now) {
+    forget(now);
+    auto const allowed = bound_.share * static_cast<double>(requests_.size()) + bound_.reserve / std::max(1U, entries);
+    if (static_cast<double>(spent_.size()) + 1 > used_part * allowed)
+        return false;
+    spent_.push_back(now);
+    return true;
+}
+
+void retry_allowance::spend(base::time_point now) {
+    forget(now);
+    spent_.push_back(now);
+}
+
+} // namespace cyclamenledge::forwarding
--- /dev/null
+++ b/Libraries/forwarding/route.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cyclamenledge::forwarding {
+
+/// What may be repeated, as the operator declares it for a route.
+enum class request_kind : std::uint8_t { idempotent, non_idempotent, stream, resumable_stream };
+
+constexpr bool is_stream(request_kind kind) {
+    return kind == request_kind::stream || kind == request_kind::resumable_stream;
+}
+
+/// Whether a second run of the same attempt is allowed.
+constexpr bool may_run_again(request_kind kind) {
+    return kind == request_kind::idempotent || kind == request_kind::resumable_stream;
+}
+
+/// A service that receives a share of a route's requests.
+struct weighted_service {
+    std::string service;
+    std::uint32_t weight{1};
+};
+
+/// Requests of one host and path prefix.
+struct route {
+    std::string name;
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string prefix;
+    std::vector<weighted_service> services;
+    request_kind kind{request_kind::non_idempotent};
+    /// Longest time from the arrival of a request to its final answer.
+    base::milliseconds timeout{};
+    /// Time to the answer, or to the first event of a stream, within which a request is on time.
+    base::milliseconds latency_objective{};
+    /// Longest pause between two events of a stream that is on time. Zero without one.
+    base::milliseconds gap_objective{};
+    /// 0 is the most urgent.
+    std::uint32_t priority{0};
+    /// Targets on which one request may run.
+    std::uint32_t maximum_attempts{1};
+    /// Served without an API key.
+    bool open_to_all{false};
+    /// Regions that may run the requests. Empty for all.
+    std::vector<std::string> home_regions;
+};
+
+/// What every engine of a service has.
+struct engine_capacity {
+    std::uint32_t slots{1};
+    /// Tokens of all running requests and of the prefix cache.
+    std::uint32_t memory_tokens{0};
+    /// Whether the memory of a running request can be copied to another engine.
+    bool moves{false};
+    /// Whether the memory of a running request can be replicated while it grows.
+    bool backups{false};
+    std::uint32_t tokens_per_event{1};
+    std::uint64_t bytes_per_token{0};
+    double link_megabits{0};
+    /// How long a copy is kept that nothing uses.
+    base::milliseconds copy_lifetime{};
+};
+
+struct service {
+    std::string name;
+    std::string health_path;
+    std::uint32_t maximum_connections{0};
+    /// How long a target stays cold after its start.
+    base::milliseconds cold_time{};
+    /// Requests a second that a cold target bears. Zero without a limit.
+    double cold_rate{0};
+    std::optional<engine_capacity> engine;
+};
+
+/// Bounds on what a caller may send.
+struct input_limits {
+    std::uint32_t header_bytes{16 * 1024};
+    std::uint64_t body_bytes{4 * 1024 * 1024};
+    base::milliseconds header_timeout{3000};
+    base::milliseconds idle_timeout{15000};
+};
+
+/// An organisation whose API keys open the routes.
+struct organisation {
+    std::string name;
+    /// Replaces the priority of a route where it is set.
+    std::optional<std::uint32_t> priority;
+    std::vector<std::string> home_regions;
+    std::vector<std::string> api_keys;
+};
+
+} // namespace cyclamenledge::forwarding
--- /dev/null
+++ b/Libraries/forwarding/stream_relay.cpp
@@ -0,0 +1,65 @@
+#include "forwarding/stream_relay.h"
+
+#include "base/name_table.h"
+
+#include <utility>
+
+namespace cyclamenledge::forwarding {
+
+namespace {
+
+constexpr base::name_table<end_verdict, 3> verdict_names{base::make_names({"complete", "go_on", "recover"})};
+
+} // namespace
+
+std::string_view name_of(end_verdict verdict) {
+    return verdict_names.name(verdict);
+}
+
+run_number stream_relay::start_run() {
+    active_ = next_++;
+    successor_ = no_run;
+    return active_;
+}
+
+run_number stream_relay::start_successor() {
+    successor_ = next_++;
+    return successor_;
+}
+
+event_verdict stream_relay::on_event(run_number run, std::optional<std::uint64_t> id) {
+    if (run != active_ && run != successor_)
+        return event_verdict::drop;
+    // Without an id the place of a successor's event in the stream is unknown.
+    if (!id && run == successor_)
+        return event_verdict::drop;
+    if (id && last_event_ && *id > *last_event_ + 1)
+        return event_verdict::gap;
+    // Both runs make events at the same pace, so a successor would never be ahead of the run that it replaces.
+    if (run == successor_)
+        active_ = std::exchange(successor_, no_run);
+    if (id && last_event_ && *id <= *last_event_)
+        return event_verdict::drop;
+    if (id)
+        last_event_ = id;
+    passed_any_ = true;
+    return event_verdict::pass_on;
+}
+
+end_verdict stream_relay::on_end(run_number run, bool complete) {
+    if (run == successor_) {
+        successor_ = no_run;
+        // A successor that ends before it has brought anything new proves nothing about the stream.
+        if (complete && active_ == no_run)
+            return end_verdict::complete;
+        return active_ == no_run ? end_verdict::recover : end_verdict::go_on;
+    }
+    if (run != active_)
+        return active_ == no_run && successor_ == no_run ? end_verdict::recover : end_verdict::go_on;
+    active_ = no_run;
+    if (complete)
+        return end_verdict::complete;
+    return successor_ == no_run ? end_verdict::recover : end_verdict::go_on;
+}
+
+} // namespace cyclamenledge::forwarding
--- /dev/null
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -0,0 +1,183 @@
+#include "forwarding_agent/forwarding_agent_role.h"
+
+#include "log/logger.h"
+#include "network/endpoint.h"
+#include "platform/engine_calls.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cyclamenledge::forwarding_agent {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A leaving engine stops after 1.5 to 2.1 s, and copying its requests away takes most of that.
+constexpr base::milliseconds report_interval{50};
+constexpr base::milliseconds failed_report_interval{200};
+constexpr base::milliseconds report_timeout{400};
+// Entries are told at once of a change of state, and of changes of the load at this interval.
+constexpr base::milliseconds load_interval{150};
+// An unchanged report is repeated so that entries know that the agent lives.
+constexpr base::milliseconds repeat_interval{600};
+// Memory changes below this share of the total are not worth a message.
+constexpr double told_memory_share = 0.01;
+
+bool same_state(forwarding::engine_report const& one, forwarding::engine_report const& other) {
+    return one.started_at == other.started_at && one.leaving == other.leaving;
+}
+
+bool similar_load(forwarding::engine_report const& one, forwarding::engine_report const& other) {
+    auto const difference = std::abs(static_cast<double>(one.used_tokens) - other.used_tokens);
+    return one.running == other.running && one.queued == other.queued &&
+           difference <= told_memory_share * one.total_tokens;
+}
+
+} // namespace
+
+base::result<std::unique_ptr<forwarding_agent_role>> forwarding_agent_role::create(process::runtime& daemon) {
+    BOOST_OUTCOME_TRY(auto target, network::parse_endpoint(daemon.settings().target_address));
+    return std::unique_ptr<forwarding_agent_role>{new forwarding_agent_role{daemon, std::move(target)}};
+}
+
+forwarding_agent_role::forwarding_agent_role(process::runtime& daemon, asio::ip::tcp::endpoint target)
+    : daemon_(daemon)
+    , target_(std::move(target))
+    , operators_(daemon, *this)
+    , operator_server_(daemon.context(), {}, operators_) {}
+
+base::result<void> forwarding_agent_role::start() {
+    auto& hub = daemon_.hub();
+    hub.add_observer(*this);
+    hub.handle<wire::schema::LinkTurnRequestT>(
+        [this](link::connection& entry, wire::schema::LinkTurnRequestT const& wish) {
+            turns_.add({entry.number(), wish.request, wish.tokens, base::milliseconds{wish.remaining_ms}});
+            grant_turn();
+        });
+    hub.handle<wire::schema::LinkTurnDoneT>([this](link::connection&, wire::schema::LinkTurnDoneT const& done) {
+        turns_.remove(done.request);
+        grant_turn();
+    });
+    BOOST_OUTCOME_TRYV(hub.listen(daemon_.settings().peer_address));
+    BOOST_OUTCOME_TRYV(operator_server_.listen(daemon_.settings().operator_address));
+    asio::co_spawn(daemon_.context(), read_reports(), asio::detached);
+    return base::success();
+}
+
+void forwarding_agent_role::on_up(link::connection& entry) {
+    entries_[entry.number()] = link::connection_pointer{&entry};
+    if (report_)
+        entry.send(message());
+}
+
+void forwarding_agent_role::on_down(link::connection& entry, base::error const&) {
+    entries_.erase(entry.number());
+    turns_.remove_entry(entry.number());
+    grant_turn();
+}
+
+asio::awaitable<void> forwarding_agent_role::read_reports() {
+    asio::steady_timer timer{daemon_.context()};
+    while (true) {
+        auto const report = co_await read_once();
+        if (report) {
+            if (failures_ > 0)
+                log::write(log::event_kind::target_reachable, {{"failures", failures_}});
+            failures_ = 0;
+            take_report(report.value());
+        } else {
+            connection_.reset();
+            if (failures_++ == 0)
+                log::write(log::event_kind::target_unreachable, {{"reason", report.error().message}});
+        }
+        timer.expires_after(failures_ > 0 ? failed_report_interval : report_interval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!turns_.idle())
+            grant_turn();
+    }
+}
+
+http::awaitable_result<forwarding::engine_report> forwarding_agent_role::read_once() {
+    if (!connection_ || !connection_->reusable() || !connection_->quiet()) {
+        connection_ = http::upstream_pointer{new http::upstream_connection{daemon_.context().get_executor(), target_}};
+        BOOST_OUTCOME_CO_TRYV(co_await connection_->connect(report_timeout));
+    }
+    co_return co_await platform::read_report(*connection_, report_timeout);
+}
+
+void forwarding_agent_role::take_report(forwarding::engine_report const& report) {
+    report_ = report;
+    auto const now = base::clock::now();
+    bool const state_changed = !told_ || !same_state(*told_, report);
+    bool const load_due = told_ && now - told_at_ >= load_interval && !similar_load(*told_, report);
+    if (state_changed || load_due || now - told_at_ >= repeat_interval)
+        tell_entries();
+    if (state_changed && report.leaving)
+        log::write(log::event_kind::target_leaving,
+                   {{"leaves_in_ms", report.leaves_in ? report.leaves_in->count() : -1}, {"running", report.running}});
+}
+
+void forwarding_agent_role::tell_entries() {
+    told_ = report_;
+    told_at_ = base::clock::now();
+    auto const content = message();
+    for (auto const& [number, entry] : entries_)
+        entry->send(content);
+}
+
+wire::schema::EngineStateT forwarding_agent_role::message() const {
+    wire::schema::EngineStateT content;
+    content.target_address = daemon_.settings().target_address;
+    content.started_at = report_->started_at;
+    content.leaving = report_->leaving;
+    content.leaves_in_ms =
+        report_->leaves_in ? static_cast<std::uint32_t>(report_->leaves_in->count()) + 1 : 0;
+    content.running = report_->running;
+    content.queued = report_->queued;
+    content.used_tokens = report_->used_tokens;
+    content.total_tokens = report_->total_tokens;
+    content.entries = static_cast<std::uint32_t>(entries_.size());
+    return content;
+}
+
+void forwarding_agent_role::grant_turn() {
+    auto const leaves_in = report_ ? report_->leaves_in : std::nullopt;
+    auto const turn = turns_.next(leaves_in, base::clock::now());
+    if (!turn)
+        return;
+    auto const entry = entries_.find(turn->entry);
+    if (entry == entries_.end()) {
+        turns_.remove(turn->request);
+        return;
+    }
+    wire::schema::LinkTurnT content;
+    content.request = turn->request;
+    entry->second->send(content);
+}
+
+boost::json::object forwarding_agent_role::state() const {
+    boost::json::object dump{{"target", daemon_.settings().target_address},
+                             {"entries", entries_.size()},
+                             {"failed_reports", failures_}};
+    if (report_) {
+        dump["leaving"] = report_->leaving;
+        dump["running"] = report_->running;
+        dump["used_tokens"] = report_->used_tokens;
+        dump["total_tokens"] = report_->total_tokens;
+    }
+    return dump;
+}
+
+base::result<boost::json::object> forwarding_agent_role::explain(std::string_view, std::string_view) const {
+    return base::make_error(base::error_kind::not_found, "entries place requests; ask one of them");
+}
+
+} // namespace cyclamenledge::forwarding_agent
--- /dev/null
+++ b/Libraries/forwarding_agent/forwarding_agent_role.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "forwarding/engine_report.h"
+#include "forwarding/link_turns.h"
+#include "http/server.h"
+#include "http/upstream_connection.h"
+#include "link/hub_observer.h"
+#include "process/operator_handler.h"
+#include "process/role.h"
+#include "process/runtime.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cyclamenledge::forwarding_agent {
+
+/// Runs beside one engine. Reads the engine's own report many times a second and tells every entry about it, and gives
+/// out turns on the engine's link while the engine leaves. It carries no requests: its loss costs knowledge only.
+class forwarding_agent_role : public process::role, private link::hub_observer {
+public:
+    static base::result<std::unique_ptr<forwarding_agent_role>> create(process::runtime& daemon);
+
+    base::result<void> start() override;
+    void stop_accepting() override { daemon_.hub().stop_accepting(); }
+    bool able_to_serve() const override { return report_.has_value(); }
+    base::result<void> apply_catalogue(catalogue::catalogue_pointer const&) override { return base::success(); }
+    void follow_membership() override {}
+    void on_configuration_confirmed(base::time_point) override {}
+    boost::json::object state() const override;
+    base::result<boost::json::object> explain(std::string_view organisation, std::string_view service) const override;
+
+private:
+    forwarding_agent_role(process::runtime& daemon, boost::asio::ip::tcp::endpoint target);
+
+    boost::asio::awaitable<void> read_reports();
+    http::awaitable_result<forwarding::engine_report> read_once();
+    void take_report(forwarding::engine_report const& report);
+    void tell_entries();
+    wire::schema::EngineStateT message() const;
+    void grant_turn();
+    void on_up(link::connection& entry) override;
+    void on_down(link::connection& entry, base::error const& reason) override;
+
+    process::runtime& daemon_;
+    boost::asio::ip::tcp::endpoint target_;
+    http::upstream_pointer connection_;
+    std::optional<forwarding::engine_report> report_;
+    std::optional<forwarding::engine_report> told_;
+    base::time_point told_at_{};
+    std::uint32_t failures_{0};
+    forwarding::link_turns turns_;
+    std::map<std::uint64_t, link::connection_pointer> entries_;
+    process::operator_handler operators_;
+    http::server operator_server_;
+};
+
+} // namespace cyclamenledge::forwarding_agent
--- /dev/null
+++ b/Libraries/forwarding_entry/answers.cpp
@@ -0,0 +1,52 @@
+#include "forwarding_entry/answers.h"
+
+#include "platform/request_headers.h"
+
+#include <iomanip>
+#include <sstream>
+#include <utility>
+
+namespace cyclamenledge::forwarding_entry {
+
+namespace {
+
+constexpr double milliseconds_per_second = 1000.0;
+
+void copy_headers(http::response_head const& from, http::response_head& to) {
+    to.result(from.result());
+    to.reason(from.reason());
+    for (auto const& field : from) {
+        auto const name = field.name_string();
+        if (platform::is_forwarded_answer_header({name.data(), name.size()}))
+            to.insert(name, field.value());
+    }
+}
+
+} // namespace
+
+http::response own_answer(base::error const& failure) {
+    auto answer = http::make_error_response(failure);
+    if (failure.retry_after) {
+        std::ostringstream seconds;
+        seconds << std::fixed << std::setprecision(2)
+                << static_cast<double>(failure.retry_after->count()) / milliseconds_per_second;
+        answer.set(http::beast_http::field::retry_after, seconds.str());
+    }
+    return answer;
+}
+
+http::response target_answer(http::response_head const& head, std::string body) {
+    http::response answer;
+    answer.version(http::http_version_1_1);
+    copy_headers(head, answer.base());
+    answer.body() = std::move(body);
+    return answer;
+}
+
+http::response_head streamed_head(http::response_head const& head) {
+    http::response_head copy;
+    copy_headers(head, copy);
+    return copy;
+}
+
+} // namespace cyclamenledge::forwarding_entry
--- /dev/null
+++ b/Libraries/forwarding_entry/entry_parts.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/random.h"
+#include "forwarding_entry/blackboard.h"
+#include "forwarding_entry/placement_controller.h"
+#include "forwarding_entry/stream_registry.h"
+#include "forwarding_entry/target_connections.h"
+#include "metrics/registry.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace cyclamenledge::forwarding_entry {
+
+class link_turn_client;
+
+/// What the exchanges of an entry share.
+struct entry_parts {
+    boost::asio::io_context& context;
+    blackboard& board;
+    placement_controller& placements;
+    target_connections& connections;
+    link_turn_client& turns;
+    stream_registry& streams;
+    metrics::registry& metrics;
+    base::random_source& random;
+};
+
+} // namespace cyclamenledge::forwarding_entry
--- /dev/null
+++ b/Libraries/forwarding_entry/forwarder.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "forwarding_entry/entry_parts.h"
+#include "forwarding_entry/request_context.h"
+#include "http/server.h"
+#include "process/runtime.h"
+
+#include <functional>
+
+namespace cyclamenledge::forwarding_entry {
+
+/// Finds the route of a caller's request and has it served.
+class forwarder : public http::request_handler {
+public:
+    /// in_step tells whether the configuration in force is known to be the newest one.
+    forwarder(process::runtime& daemon, entry_parts& parts, std::function<bool()> in_step)
+        : daemon_(daemon)
+        , parts_(parts)
+        , in_step_(std::move(in_step)) {}
+
+    boost::asio::awaitable<void> handle(http::session_pointer client, http::request received) override;
+
+private:
+    base::result<request_context> prepare(http::session_pointer const& client, http::request received);
+    base::error unknown_here(base::error_kind kind, std::string message) const;
+    std::string const& choose_service(forwarding::route const& route);
+
+    process::runtime& daemon_;
+    entry_parts& parts_;
+    std::function<bool()> in_step_;
+};
+
+} // namespace cyclamenledge::forwarding_entry
--- /dev/null
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -0,0 +1,180 @@
+#include "forwarding_entry/forwarding_entry_role.h"
+
+#include "log/logger.h"
+#include "network/endpoint.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+
+#include <utility>
+
+namespace cyclamenledge::forwarding_entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr base::milliseconds house_keeping_interval{500};
+
+std::map<std::string, std::string> regions_of(settings::forwarding_settings const& settings) {
+    std::map<std::string, std::string> regions;
+    for (auto const& text : settings.regions) {
+        auto const mark = text.find('=');
+        regions.emplace(text.substr(0, mark), text.substr(mark + 1));
+    }
+    return regions;
+}
+
+forwarding::retry_bound bound_of(settings::forwarding_settings const& settings) {
+    return {settings.retry_share, static_cast<double>(settings.retry_reserve), settings.retry_window};
+}
+
+http::server_limits limits_of(settings::caller_limits const& settings, forwarding::input_limits const& published) {
+    http::server_limits limits;
+    limits.connections = settings.connections;
+    limits.header_bytes = published.header_bytes;
+    limits.body_bytes = published.body_bytes;
+    limits.header_timeout = published.header_timeout;
+    limits.body_timeout = published.idle_timeout;
+    limits.idle_timeout = published.idle_timeout;
+    return limits;
+}
+
+} // namespace
+
+base::result<std::unique_ptr<forwarding_entry_role>> forwarding_entry_role::create(process::runtime& daemon) {
+    auto const& settings = daemon.settings().forwarding;
+    BOOST_OUTCOME_TRY(auto store, network::parse_endpoint(settings.store_address.value_or("")));
+    return std::unique_ptr<forwarding_entry_role>{
+        new forwarding_entry_role{daemon, std::move(store), regions_of(settings)}};
+}
+
+forwarding_entry_role::forwarding_entry_role(process::runtime& daemon, asio::ip::tcp::endpoint store,
+                                             std::map<std::string, std::string> regions)
+    : daemon_(daemon)
+    , board_(forwarding::fleet_view{daemon.settings().failure_domain, std::move(regions), base::random_seed()},
+             bound_of(daemon.settings().forwarding))
+    , random_(base::random_seed())
+    , publications_(board_)
+    , store_(daemon.context(), std::move(store), board_, publications_)
+    , placements_(daemon.context(), board_)
+    , connections_(daemon.context().get_executor())
+    , turns_(daemon.context(), daemon.hub())
+    , agents_(daemon.hub(), board_, turns_, static_cast<std::uint16_t>(daemon.settings().forwarding.agent_port))
+    , parts_{daemon.context(), board_,   placements_,      connections_,
+             turns_,           streams_, daemon.metrics(), random_}
+    , forwarder_(daemon, parts_, [this] { return store_.in_step(base::clock::now()); })
+    , operators_(daemon, *this)
+    , readiness_(daemon, *this)
+    , caller_server_(daemon.context(), limits_of(daemon.settings().limits, {}), forwarder_)
+    , readiness_server_(daemon.context(), {}, readiness_)
+    , operator_server_(daemon.context(), {}, operators_) {
+    publications_.set_observer([this] { on_targets_change(); });
+    agents_.set_observer([this] {
+        placements_.on_capacity_change();
+        streams_.on_fleet_change();
+    });
+}
+
+base::result<void> forwarding_entry_role::start() {
+    auto const& settings = daemon_.settings();
+    BOOST_OUTCOME_TRYV(caller_server_.listen(settings.caller_address));
+    BOOST_OUTCOME_TRYV(daemon_.hub().listen(settings.peer_address));
+    BOOST_OUTCOME_TRYV(operator_server_.listen(settings.operator_address));
+    if (settings.forwarding.readiness_address) {
+        BOOST_OUTCOME_TRYV(readiness_server_.listen(*settings.forwarding.readiness_address));
+    }
+    store_.start();
+    asio::co_spawn(daemon_.context(), keep_house(), asio::detached);
+    return base::success();
+}
+
+void forwarding_entry_role::stop_accepting() {
+    caller_server_.stop_accepting();
+}
+
+bool forwarding_entry_role::able_to_serve() const {
+    return board_.routes != nullptr && board_.targets_known;
+}
+
+void forwarding_entry_role::on_targets_change() {
+    agents_.follow_targets(base::clock::now());
+    follow_limits();
+    placements_.on_capacity_change();
+    streams_.on_fleet_change();
+}
+
+void forwarding_entry_role::follow_limits() {
+    if (board_.routes)
+        caller_server_.set_limits(limits_of(daemon_.settings().limits, board_.routes->limits()));
+}
+
+asio::awaitable<void> forwarding_entry_role::keep_house() {
+    asio::steady_timer timer{daemon_.context()};
+    while (true) {
+        timer.expires_after(house_keeping_interval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        auto const now = base::clock::now();
+        connections_.expire(now);
+        board_.fleet.expire(now);
+        agents_.follow_targets(now);
+        placements_.on_capacity_change();
+        streams_.on_fleet_change();
+    }
+}
+
+boost::json::object forwarding_entry_role::state() const {
+    auto const now = base::clock::now();
+    boost::json::object dump;
+    dump["configuration_version"] = board_.routes ? board_.routes->version() : 0;
+    dump["revision"] = board_.publications.newest();
+    dump["store_in_step"] = store_.in_step(now);
+    dump["store_calls"] = store_.calls();
+    dump["waiting"] = board_.waiting.size();
+    dump["streams"] = streams_.size();
+    dump["idle_connections"] = connections_.idle();
+    boost::json::array targets;
+    for (auto const& [id, target] : board_.fleet.targets()) {
+        boost::json::object item{{"id", id},
+                                 {"service", target.record.service},
+                                 {"address", target.record.address},
+                                 {"failure_domain", target.record.failure_domain},
+                                 {"leaving", target.leaving(now)},
+                                 {"ejected", target.health.ejected(now)},
+                                 {"open_requests", target.open_requests}};
+        if (target.report) {
+            item["used_tokens"] = target.report->used_tokens;
+            item["running"] = target.report->running;
+            item["report_age_seconds"] = base::to_seconds(now - target.reported_at);
+        }
+        targets.push_back(std::move(item));
+    }
+    dump["targets"] = std::move(targets);
+    return dump;
+}
+
+base::result<boost::json::object> forwarding_entry_role::explain(std::string_view organisation,
+                                                                 std::string_view service) const {
+    if (!board_.routes || board_.routes->find_service(service) == nullptr)
+        return base::make_error(base::error_kind::not_found, "no such service: " + std::string{service});
+    auto const now = base::clock::now();
+    boost::json::array targets;
+    for (auto const& [id, target] : board_.fleet.targets()) {
+        if (target.record.service != service)
+            continue;
+        targets.push_back(boost::json::object{{"id", id},
+                                              {"leaving", target.leaving(now)},
+                                              {"evacuated", board_.fleet.evacuated(target.record.failure_domain)},
+                                              {"ejected", target.health.ejected(now)},
+                                              {"failure_share", target.health.failure_share()},
+                                              {"open_requests", target.open_requests}});
+    }
+    return boost::json::object{
+        {"organisation", organisation}, {"service", service}, {"targets", std::move(targets)}};
+}
+
+} // namespace cyclamenledge::forwarding_entry
--- /dev/null
+++ b/Libraries/forwarding_entry/forwarding_entry_role.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "forwarding_entry/agent_controller.h"
+#include "forwarding_entry/blackboard.h"
+#include "forwarding_entry/entry_parts.h"
+#include "forwarding_entry/forwarder.h"
+#include "forwarding_entry/link_turn_client.h"
+#include "forwarding_entry/placement_controller.h"
+#include "forwarding_entry/publication_controller.h"
+#include "forwarding_entry/readiness_handler.h"
+#include "forwarding_entry/store_controller.h"
+#include "forwarding_entry/stream_registry.h"
+#include "forwarding_entry/target_connections.h"
+#include "http/server.h"
+#include "process/operator_handler.h"
+#include "process/role.h"
+#include "process/runtime.h"
+
+#include <memory>
+
+namespace cyclamenledge::forwarding_entry {
+
+/// An entry that forwards callers' requests unchanged to targets found in the metadata store.
+class forwarding_entry_role : public process::role {
+public:
+    static base::result<std::unique_ptr<forwarding_entry_role>> create(process::runtime& daemon);
+
+    base::result<void> start() override;
+    void stop_accepting() override;
+    bool able_to_serve() const override;
+    /// The routes of this role come from the metadata store.
+    base::result<void> apply_catalogue(catalogue::catalogue_pointer const&) override { return base::success(); }
+    void follow_membership() override {}
+    void on_configuration_confirmed(base::time_point) override {}
+    boost::json::object state() const override;
+    base::result<boost::json::object> explain(std::string_view organisation, std::string_view service) const override;
+
+private:
+    forwarding_entry_role(process::runtime& daemon, boost::asio::ip::tcp::endpoint store,
+                          std::map<std::string, std::string> regions);
+
+    boost::asio::awaitable<void> keep_house();
+    void on_targets_change();
+    void follow_limits();
+
+    process::runtime& daemon_;
+    blackboard board_;
+    base::random_source random_;
+    publication_controller publications_;
+    store_controller store_;
+    placement_controller placements_;
+    target_connections connections_;
+    link_turn_client turns_;
+    stream_registry streams_;
+    agent_controller agents_;
+    entry_parts parts_;
+    forwarder forwarder_;
+    process::operator_handler operators_;
+    readiness_handler readiness_;
+    http::server caller_server_;
+    http::server readiness_server_;
+    http::server operator_server_;
+};
+
+} // namespace cyclamenledge::forwarding_entry
--- /dev/null
+++ b/Libraries/forwarding_entry/placement_controller.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/result.h"
+#include "forwarding_entry/blackboard.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace cyclamenledge::forwarding_entry {
+
+/// A request that needs a target, and how long it may wait for one.
+struct placement_need {
+    std::string request_id;
+    forwarding::placement_request request;
+    std::uint32_t priority{0};
+    base::time_point arrived{};
+    /// After this time the request is late even if it is placed at once, so it no longer waits for a good place.
+    base::time_point on_time_until{};
+    base::time_point give_up_at{};
+    bool returned{false};
+    std::function<bool()> cancelled;
+};
+
+/// Gives requests to targets, and keeps those that find no room waiting in order.
+class placement_controller {
+public:
+    placement_controller(boost::asio::io_context& context, blackboard& board)
+        : context_(context)
+        , board_(board) {}
+
+    /// The id of the target. The request is then counted there until release is called.
+    boost::asio::awaitable<base::result<std::string>> place(placement_need need);
+    void release(std::string const& target);
+
+    /// Room may have appeared.
+    void on_capacity_change();
+
+private:
+    struct waiter {
+        waiter(boost::asio::io_context& context, placement_need& wanted)
+            : timer(context)
+            , need(&wanted) {}
+        boost::asio::steady_timer timer;
+        placement_need* need;
+        std::optional<forwarding::placement> given;
+    };
+
+    std::optional<forwarding::placement> try_place(placement_need& need, base::time_point now);
+    boost::asio::awaitable<base::result<std::string>> wait(placement_need& need, std::uint64_t number);
+    base::error refusal(placement_need const& need, std::string_view reason) const;
+
+    boost::asio::io_context& context_;
+    blackboard& board_;
+    std::map<std::uint64_t, waiter*> waiters_;
+    std::uint64_t next_number_{1};
+};
+
+} // namespace cyclamenledge::forwarding_entry
--- /dev/null
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -0,0 +1,211 @@
+#include "forwarding_entry/plain_exchange.h"
+
+#include "forwarding_entry/answers.h"
+#include "log/logger.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cyclamenledge::forwarding_entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr base::milliseconds connect_timeout{700};
+constexpr std::size_t maximum_answer_bytes = 16UL * 1024 * 1024;
+// A kept connection may be closed by its target at any moment, and a request that meets the close may have run. One
+// that must not run twice therefore only uses connections that were in use a moment ago.
+constexpr base::milliseconds fresh_connection{1000};
+constexpr base::milliseconds any_idle_time{3'600'000};
+// Answers to earlier requests that may still arrive before the one that is waited for.
+constexpr int most_foreign_answers = 3;
+// A first attempt that takes longer than this part of the objective is given up for another target, so that the answer
+// of that one is still on time.
+constexpr int objective_parts = 2;
+constexpr base::milliseconds shortest_attempt{60};
+// Time to place a request that finds no room within its objective.
+constexpr base::milliseconds run_time_reserve{60};
+
+} // namespace
+
+asio::awaitable<void> plain_exchange::run() {
+    boost::intrusive_ptr<plain_exchange> const self{this};
+    request_.client->watch_for_close([self] { self->on_caller_left(); });
+    auto answer = co_await find_answer();
+    if (caller_left_) {
+        log::write(log::event_kind::request_cancelled, {{"request", request_.caller.id}});
+        request_.client->end_after_answer();
+        co_return;
+    }
+    std::ignore = co_await request_.client->send(std::move(answer));
+}
+
+void plain_exchange::on_caller_left() {
+    caller_left_ = true;
+    if (current_)
+        current_->close();
+    parts_.placements.on_capacity_change();
+}
+
+placement_need plain_exchange::need() {
+    placement_need wanted;
+    wanted.request_id = request_.caller.id;
+    wanted.request = request_.placement();
+    wanted.request.excluded = used_;
+    wanted.priority = request_.priority();
+    wanted.arrived = request_.arrived;
+    wanted.on_time_until = request_.arrived + request_.route->latency_objective - run_time_reserve;
+    wanted.give_up_at = request_.deadline - run_time_reserve;
+    wanted.cancelled = [this] { return caller_left_; };
+    return wanted;
+}
+
+base::time_point plain_exchange::attempt_limit(base::time_point now) const {
+    bool const last = !request_.may_run_again() || runs_ + 1 >= request_.route->maximum_attempts;
+    if (last)
+        return request_.deadline;
+    auto const part = std::max(request_.route->latency_objective / objective_parts, shortest_attempt);
+    return std::min<base::time_point>(request_.deadline, now + part);
+}
+
+bool plain_exchange::may_send_again(send_result const& last) {
+    auto const now = base::clock::now();
+    if (caller_left_ || now >= request_.deadline)
+        return false;
+    bool const allowed = last.outcome == send_outcome::not_run ||
+                         (request_.may_run_again() && runs_ < request_.route->maximum_attempts &&
+                          (last.outcome == send_outcome::unknown || last.server_error()));
+    if (!allowed)
+        return false;
+    if (!parts_.board.allowance(request_.service).try_spend(parts_.board.fleet.entry_count(), now)) {
+        parts_.metrics.add(metrics::counter_kind::retry_budget_exhausted);
+        return false;
+    }
+    parts_.metrics.add(metrics::counter_kind::retries);
+    return true;
+}
+
+asio::awaitable<http::response> plain_exchange::find_answer() {
+    parts_.board.allowance(request_.service).count_request(request_.arrived);
+    send_result last;
+    while (true) {
+        auto const target = co_await parts_.placements.place(need());
+        if (!target) {
+            // Every other target was used already: the answer of the last one stands.
+            if (last.answer)
+                co_return std::move(*last.answer);
+            if (last.outcome == send_outcome::unknown && !used_.empty())
+                break;
+            co_return own_answer(target.error());
+        }
+        last = co_await send_to(target.value());
+        parts_.placements.release(target.value());
+        used_.push_back(target.value());
+        bool const good = last.outcome == send_outcome::answered && !last.server_error();
+        if (good || !may_send_again(last))
+            break;
+        log::write(log::event_kind::request_sent_again,
+                   {{"request", request_.caller.id}, {"after", target.value()}, {"reason", last.reason}});
+    }
+    if (last.answer && last.outcome != send_outcome::unknown) {
+        log::write(log::event_kind::request_finished, {{"request", request_.caller.id},
+                                                       {"status", last.answer->result_int()},
+                                                       {"targets", used_.size()}});
+        co_return std::move(*last.answer);
+    }
+    auto const failure =
+        last.outcome == send_outcome::not_run
+            ? base::make_error(base::error_kind::overloaded, "no target took the request", base::milliseconds{500})
+            : base::make_error(base::clock::now() >= request_.deadline ? base::error_kind::deadline_exceeded
+                                                                        : base::error_kind::link_lost,
+                               "no answer from the target: " + last.reason);
+    if (!caller_left_)
+        log::write(log::event_kind::request_failed,
+                   {{"request", request_.caller.id}, {"reason", last.reason}, {"targets", used_.size()}});
+    co_return own_answer(failure);
+}
+
+asio::awaitable<send_result> plain_exchange::send_to(std::string target) {
+    auto const* view = parts_.board.fleet.find(target);
+    if (view == nullptr)
+        co_return send_result{send_outcome::not_run, "target_gone", {}};
+    auto const address = view->record.address;
+    auto const now = base::clock::now();
+    auto const until = attempt_limit(now);
+    auto connected = co_await parts_.connections.acquire(
+        address, std::min(connect_timeout, request_.time_left(now)),
+        request_.may_run_again() ? any_idle_time : fresh_connection);
+    if (!connected) {
+        parts_.board.fleet.record_outcome(target, forwarding::target_outcome::unreachable, base::clock::now());
+        co_return send_result{send_outcome::not_run, connected.error().message, {}};
+    }
+    // The deadline or the caller may have gone while the connection was opened.
+    if (caller_left_ || base::clock::now() >= request_.deadline) {
+        parts_.connections.release(address, connected.value(), {});
+        co_return send_result{send_outcome::not_run, "deadline", {}};
+    }
+    current_ = connected.value();
+    platform::forwarded_context context;
+    context.time_left = request_.time_left(base::clock::now());
+    context.target = target;
+    context.organisation = request_.organisation == nullptr ? "" : request_.organisation->name;
+    auto const message = platform::encode_forwarded(request_.received, context);
+    send_result result;
+    if (auto const sent = co_await current_->send(message, request_.time_left(base::clock::now())); !sent)
+        result = {send_outcome::unknown, sent.error().message, {}};
+    else
+        result = co_await read_answer(address, current_, until);
+    current_.reset();
+    if (result.outcome != send_outcome::not_run)
+        ++runs_;
+    using enum forwarding::target_outcome;
+    if (!caller_left_ && result.outcome != send_outcome::not_run)
+        parts_.board.fleet.record_outcome(
+            target, result.outcome == send_outcome::answered && !result.server_error() ? answered : failed,
+            base::clock::now());
+    if (result.reason == "other_target")
+        parts_.board.fleet.mark_leaving(target);
+    co_return result;
+}
+
+asio::awaitable<send_result> plain_exchange::read_answer(std::string const& address, http::upstream_pointer connection,
+                                                         base::time_point until) {
+    auto const left = [&] { return std::chrono::duration_cast<base::milliseconds>(until - base::clock::now()); };
+    bool const body_expected = request_.received.method() != http::beast_http::verb::head;
+    for (int foreign = 0; foreign <= most_foreign_answers; ++foreign) {
+        auto const head = co_await connection->read_head(left(), body_expected);
+        if (!head) {
+            connection->close();
+            co_return send_result{send_outcome::unknown, head.error().message, {}};
+        }
+        auto body = co_await connection->read_whole_body(maximum_answer_bytes, left());
+        if (!body) {
+            connection->close();
+            co_return send_result{send_outcome::unknown, body.error().message, {}};
+        }
+        auto const facts = platform::decode_answer(head.value());
+        // The late answer to an earlier request; the right one follows.
+        if (!facts.request_id.empty() && facts.request_id != request_.caller.id) {
+            log::write(log::event_kind::answer_dropped, {{"request", request_.caller.id}, {"of", facts.request_id}});
+            continue;
+        }
+        bool const success = head.value().result_int() < 300;
+        bool const genuine = !success || (facts.stamped && !facts.encoded && !facts.request_id.empty());
+        if (foreign > 0 || !genuine)
+            connection->close();
+        else
+            parts_.connections.release(address, connection, facts.idle_timeout);
+        if (!genuine)
+            co_return send_result{send_outcome::unknown, "an answer that is not the target's", {}};
+        auto const outcome = facts.not_run ? send_outcome::not_run : send_outcome::answered;
+        auto reason = facts.other_target ? std::string{"other_target"}
+                                          : "status " + std::to_string(head.value().result_int());
+        co_return send_result{outcome, std::move(reason), target_answer(head.value(), std::move(body).value())};
+    }
+    connection->close();
+    co_return send_result{send_outcome::unknown, "answers to other requests", {}};
+}
+
+} // namespace cyclamenledge::forwarding_entry
--- /dev/null
+++ b/Libraries/forwarding_entry/plain_exchange.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "forwarding_entry/entry_parts.h"
+#include "forwarding_entry/request_context.h"
+#include "forwarding_entry/send_result.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cyclamenledge::forwarding_entry {
+
+/// Serves one request whose answer is passed on whole.
+class plain_exchange : public boost::intrusive_ref_counter<plain_exchange> {
+public:
+    plain_exchange(entry_parts& parts, request_context request)
+        : parts_(parts)
+        , request_(std::move(request)) {}
+
+    boost::asio::awaitable<void> run();
+
+private:
+    boost::asio::awaitable<http::response> find_answer();
+    boost::asio::awaitable<send_result> send_to(std::string target);
+    boost::asio::awaitable<send_result> read_answer(std::string const& address, http::upstream_pointer connection,
+                                                    base::time_point until);
+    base::time_point attempt_limit(base::time_point now) const;
+    bool may_send_again(send_result const& last);
+    placement_need need();
+    void on_caller_left();
+
+    entry_parts& parts_;
+    request_context request_;
+    http::upstream_pointer current_;
+    std::vector<std::string> used_;
+    std::uint32_t runs_{0};
+    bool caller_left_{false};
+};
+
+} // namespace cyclamenledge::forwarding_entry
--- /dev/null
+++ b/Libraries/forwarding_entry/publication_controller.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "forwarding/publication_table.h"
+#include "forwarding_entry/blackboard.h"
+
+#include <functional>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenledge::forwarding_entry {
+
+/// Puts published documents in force, whether they come from the metadata store or from a peer.
+class publication_controller {
+public:
+    explicit publication_controller(blackboard& board)
+        : board_(board) {}
+
+    /// Called after targets have changed.
+    void set_observer(std::function<void()> on_change) { on_change_ = std::move(on_change); }
+
+    /// Whether the store was out of reach lately, so that missing targets may only have lapsed.
+    void set_store_in_doubt(bool in_doubt) { store_in_doubt_ = in_doubt; }
+
+    void apply(std::vector<forwarding::publication> changes, std::string_view source);
+    void reconcile(forwarding::publication_listing listing, std::string_view source);
+
+private:
+    void put_in_force(forwarding::publication const& change, std::string_view source);
+    void apply_configuration(forwarding::publication const& change, std::string_view source);
+    void apply_evacuation(forwarding::publication const& change, std::string_view source);
+    void apply_target(forwarding::publication const& change, std::string_view source);
+
+    blackboard& board_;
+    std::function<void()> on_change_;
+    bool store_in_doubt_{false};
+};
+
+} // namespace cyclamenledge::forwarding_entry
--- /dev/null
+++ b/Libraries/forwarding_entry/request_context.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "forwarding/route_set.h"
+#include "http/session.h"
+#include "platform/request_headers.h"
+
+#include <algorithm>
+#include <string>
+
+namespace cyclamenledge::forwarding_entry {
+
+/// A caller's request with the configuration that was in force when it arrived.
+struct request_context {
+    http::session_pointer client;
+    http::request received;
+    platform::caller_request caller;
+    /// Keeps the route and the organisation alive.
+    forwarding::route_set_pointer routes;
+    forwarding::route const* route{nullptr};
+    /// Null on a route that is open to all.
+    forwarding::organisation const* organisation{nullptr};
+    std::string service;
+    base::time_point arrived{};
+    /// The final answer is due.
+    base::time_point deadline{};
+
+    std::uint32_t priority() const {
+        return organisation != nullptr && organisation->priority ? *organisation->priority : route->priority;
+    }
+    base::milliseconds time_left(base::time_point now) const {
+        return std::chrono::duration_cast<base::milliseconds>(deadline - now);
+    }
+    forwarding::placement_request placement() const {
+        forwarding::placement_request request;
+        request.service = service;
+        request.size = caller.size;
+        request.route_homes = &route->home_regions;
+        request.organisation_homes = organisation == nullptr ? nullptr : &organisation->home_regions;
+        return request;
+    }
+    /// Whether a run must not be repeated unless the target states that it did not happen.
+    bool may_run_again() const { return forwarding::may_run_again(route->kind); }
+};
+
+} // namespace cyclamenledge::forwarding_entry
--- /dev/null
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -0,0 +1,603 @@
+#include "forwarding_entry/stream_exchange.h"
+
+#include "forwarding_entry/answers.h"
+#include "forwarding_entry/link_turn_client.h"
+#include "log/logger.h"
+#include "platform/engine_calls.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cyclamenledge::forwarding_entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr base::milliseconds connect_timeout{700};
+constexpr base::milliseconds any_idle_time{3'600'000};
+// A kept connection may be closed by its target at any moment, and a request that meets the close may have run.
+constexpr base::milliseconds fresh_connection{1000};
+constexpr std::size_t maximum_answer_bytes = 1024UL * 1024;
+constexpr int most_foreign_answers = 3;
+// From its place in an idle engine to the first event of a long prompt.
+constexpr base::milliseconds first_event_reserve{700};
+// Callers abandon a stream without an event after a multiple of its objective. A place after that is of no use.
+constexpr int objectives_until_abandoned = 4;
+constexpr base::milliseconds abandon_margin{700};
+// An engine makes an event each 30 to 75 ms. After a pause of this length it is taken for lost where the stream can go
+// on elsewhere; an earlier guess would interrupt requests that were preempted.
+constexpr base::milliseconds silence_with_backup{900};
+constexpr base::milliseconds silence_when_resumable{1500};
+// A run that goes on from a copy is admitted first; without an event after this time it is given up.
+constexpr base::milliseconds successor_patience{900};
+constexpr base::milliseconds copy_timeout{2000};
+constexpr base::milliseconds move_retry_pause{40};
+constexpr int most_move_attempts = 40;
+// Engines are filled with copies up to this share of their memory. A backup leaves room for new requests.
+constexpr double copy_room_share = 0.97;
+constexpr double backup_room_share = 0.70;
+// Time of an engine for one token of a run among a few others.
+constexpr base::milliseconds time_per_token{10};
+
+std::int64_t milliseconds_since(base::time_point then, base::time_point now) {
+    return std::chrono::duration_cast<base::milliseconds>(now - then).count();
+}
+
+} // namespace
+
+stream_exchange::stream_exchange(entry_parts& parts, request_context request)
+    : parts_(parts)
+    , request_(std::move(request))
+    , engine_(nullptr)
+    , changed_(parts.context)
+    , successor_changed_(parts.context) {
+    auto const* service = request_.routes->find_service(request_.service);
+    if (service != nullptr && service->engine)
+        engine_ = &*service->engine;
+}
+
+asio::awaitable<void> stream_exchange::run() {
+    self_pointer const self{this};
+    parts_.streams.add(*this);
+    parts_.board.allowance(request_.service).count_request(request_.arrived);
+    request_.client->watch_for_close([self] { self->on_caller_left(); });
+    changed_.expires_at(request_.deadline);
+    while (!caller_left_) {
+        if (phase_ == phase::wanting_run)
+            co_await start_first_run();
+        if (!outbox_.empty())
+            co_await write_to_caller();
+        if (outbox_.empty() && phase_ != phase::wanting_run && phase_ != phase::running)
+            break;
+        if (base::clock::now() >= request_.deadline) {
+            fail(base::make_error(base::error_kind::deadline_exceeded, "the stream did not end in time"), "deadline");
+            break;
+        }
+        if (outbox_.empty() && phase_ == phase::running) {
+            changed_.expires_at(request_.deadline);
+            co_await changed_.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+    unlink();
+    cancel_others(forwarding::no_run);
+    co_await finish();
+}
+
+asio::awaitable<void> stream_exchange::start_first_run() {
+    placement_need need;
+    need.request_id = request_.caller.id;
+    need.request = request_.placement();
+    need.request.excluded = used_;
+    need.priority = request_.priority();
+    need.arrived = request_.arrived;
+    need.on_time_until = request_.arrived + request_.route->latency_objective - first_event_reserve;
+    need.give_up_at =
+        std::min<base::time_point>(request_.deadline, request_.arrived + objectives_until_abandoned *
+                                                                             request_.route->latency_objective) -
+        abandon_margin;
+    need.cancelled = [this] { return caller_left_; };
+    auto const target = co_await parts_.placements.place(std::move(need));
+    if (!target) {
+        if (!answer_)
+            answer_ = own_answer(target.error());
+        phase_ = relay_.passed_any() ? phase::failed : phase::answered;
+        co_return;
+    }
+    if (caller_left_) {
+        parts_.placements.release(target.value());
+        co_return;
+    }
+    auto const started = make_run(relay_.start_run(), target.value());
+    if (relay_.last_event())
+        started->context.resume_after = relay_.last_event();
+    choose_backup(*started);
+    phase_ = phase::running;
+    launch(started);
+}
+
+void stream_exchange::choose_backup(stream_run& started) {
+    // A stream that may be resumed is read again elsewhere, which costs less than a second place.
+    if (engine_ == nullptr || !engine_->backups || request_.may_run_again())
+        return;
+    auto const chosen = parts_.board.fleet.choose_copy_holder(request_.placement(), started.target, backup_room_share,
+                                                              base::clock::now());
+    if (chosen.kind != forwarding::placement_kind::placed)
+        return;
+    started.backup_target = chosen.target;
+    started.context.backup_address = parts_.board.fleet.find(chosen.target)->record.address;
+}
+
+stream_run_pointer stream_exchange::make_run(forwarding::run_number number, std::string const& target) {
+    stream_run_pointer created{new stream_run};
+    created->number = number;
+    created->target = target;
+    if (auto const* view = parts_.board.fleet.find(target)) {
+        created->address = view->record.address;
+        created->started_at = view->record.started_at;
+    }
+    created->context.target = target;
+    created->context.organisation = request_.organisation == nullptr ? "" : request_.organisation->name;
+    created->last_event = base::clock::now();
+    return created;
+}
+
+void stream_exchange::launch(stream_run_pointer const& started) {
+    runs_.push_back(started);
+    asio::co_spawn(
+        parts_.context,
+        [self = self_pointer{this}, started]() -> asio::awaitable<void> { co_await self->drive(started); },
+        asio::detached);
+}
+
+stream_run_pointer stream_exchange::find_run(forwarding::run_number number) const {
+    auto const found = std::ranges::find(runs_, number, [](auto const& item) { return item->number; });
+    return found == runs_.end() ? nullptr : *found;
+}
+
+asio::awaitable<void> stream_exchange::drive(stream_run_pointer driven) {
+    auto result = co_await send_and_read(driven);
+    driven->ended = true;
+    driven->connection.reset();
+    std::erase(runs_, driven);
+    parts_.placements.release(driven->target);
+    if (result.outcome != send_outcome::not_run)
+        ++targets_run_;
+    bool const good = result.outcome == send_outcome::answered && !result.server_error();
+    using enum forwarding::target_outcome;
+    // A target that is expected to stop says nothing about its health when it does.
+    auto const* view = parts_.board.fleet.find(driven->target);
+    bool const expected = view != nullptr && view->leaving(base::clock::now());
+    if (!driven->cancelled && !caller_left_ && !expected && result.outcome != send_outcome::not_run)
+        parts_.board.fleet.record_outcome(driven->target, good ? answered : failed, base::clock::now());
+    if (result.reason == "other_target")
+        parts_.board.fleet.mark_leaving(driven->target);
+    on_end(*driven, std::move(result));
+    successor_changed_.cancel();
+    wake();
+}
+
+asio::awaitable<send_result> stream_exchange::send_and_read(stream_run_pointer driven) {
+    auto connected = co_await parts_.connections.acquire(
+        driven->address, connect_timeout, request_.may_run_again() ? any_idle_time : fresh_connection);
+    if (!connected) {
+        parts_.board.fleet.record_outcome(driven->target, forwarding::target_outcome::unreachable,
+                                          base::clock::now());
+        co_return send_result{send_outcome::not_run, connected.error().message, {}};
+    }
+    auto const left = request_.time_left(base::clock::now());
+    if (driven->cancelled || caller_left_ || left.count() <= 0) {
+        parts_.connections.release(driven->address, connected.value(), {});
+        co_return send_result{send_outcome::not_run, "no longer wanted", {}};
+    }
+    driven->connection = connected.value();
+    driven->context.time_left = left;
+    driven->sent = true;
+    auto const message = platform::encode_forwarded(request_.received, driven->context);
+    if (auto const sent = co_await driven->connection->send(message, left); !sent)
+        co_return send_result{send_outcome::unknown, sent.error().message, {}};
+    auto const head = co_await read_own_head(driven);
+    if (!head) {
+        driven->connection->close();
+        co_return send_result{send_outcome::unknown, head.error().message, {}};
+    }
+    co_return co_await read_events(driven, head.value());
+}
+
+http::awaitable_result<http::response_head> stream_exchange::read_own_head(stream_run_pointer driven) {
+    auto const connection = driven->connection;
+    for (int foreign = 0; foreign <= most_foreign_answers; ++foreign) {
+        BOOST_OUTCOME_CO_TRY(auto head, co_await connection->read_head(silence_limit(*driven)));
+        auto const facts = platform::decode_answer(head);
+        if (facts.request_id.empty() || facts.request_id == request_.caller.id)
+            co_return head;
+        log::write(log::event_kind::answer_dropped, {{"request", request_.caller.id}, {"of", facts.request_id}});
+        BOOST_OUTCOME_CO_TRY(auto const body,
+                             co_await connection->read_whole_body(maximum_answer_bytes, silence_limit(*driven)));
+    }
+    co_return base::make_error(base::error_kind::io_failed, "answers to other requests");
+}
+
+asio::awaitable<send_result> stream_exchange::read_events(stream_run_pointer driven, http::response_head head) {
+    auto const connection = driven->connection;
+    auto const facts = platform::decode_answer(head);
+    bool const success = head.result_int() == 200;
+    if (!success) {
+        auto body = co_await connection->read_whole_body(maximum_answer_bytes, silence_limit(*driven));
+        if (!body)
+            co_return send_result{send_outcome::unknown, body.error().message, {}};
+        parts_.connections.release(driven->address, connection, facts.idle_timeout);
+        auto reason =
+            facts.other_target ? std::string{"other_target"} : "status " + std::to_string(head.result_int());
+        co_return send_result{facts.not_run ? send_outcome::not_run : send_outcome::answered, std::move(reason),
+                              target_answer(head, std::move(body).value())};
+    }
+    if (!facts.stamped || facts.encoded || facts.request_id.empty()) {
+        connection->close();
+        co_return send_result{send_outcome::unknown, "an answer that is not the target's", {}};
+    }
+    if (!head_)
+        head_ = streamed_head(head);
+    while (true) {
+        auto const part = co_await connection->read_body(silence_limit(*driven));
+        if (!part) {
+            connection->close();
+            co_return send_result{send_outcome::unknown, part.error().message, {}};
+        }
+        if (part.value().empty())
+            break;
+        driven->splitter.append(part.value());
+        if (!pass_events(*driven)) {
+            connection->close();
+            co_return send_result{send_outcome::unknown, "events out of order", {}};
+        }
+    }
+    if (driven->splitter.inside_event()) {
+        connection->close();
+        co_return send_result{send_outcome::unknown, "the stream ended inside an event", {}};
+    }
+    parts_.connections.release(driven->address, connection, facts.idle_timeout);
+    co_return send_result{send_outcome::answered, "complete", {}};
+}
+
+std::string stream_exchange::describe_room(std::string const& target) const {
+    auto const* view = parts_.board.fleet.find(target);
+    if (view == nullptr || !view->report)
+        return "unknown";
+    auto const& report = *view->report;
+    return std::to_string(report.used_tokens) + "/" + std::to_string(report.total_tokens) + " tokens, " +
+           std::to_string(report.running) + "+" + std::to_string(report.queued) + " requests, " +
+           std::to_string(milliseconds_since(view->reported_at, base::clock::now())) + " ms old";
+}
+
+bool stream_exchange::pass_events(stream_run& driven) {
+    auto const now = base::clock::now();
+    while (auto const event = driven.splitter.next()) {
+        driven.last_event = now;
+        driven.got_event = true;
+        auto const before = relay_.active();
+        auto const verdict = relay_.on_event(driven.number, event->id);
+        if (verdict == forwarding::event_verdict::gap)
+            return false;
+        if (before != relay_.active())
+            on_takeover(driven, *event);
+        if (verdict == forwarding::event_verdict::drop)
+            continue;
+        if (events_ > 0)
+            longest_gap_ = std::max(longest_gap_, std::chrono::duration_cast<base::milliseconds>(now - last_passed_));
+        last_passed_ = now;
+        ++events_;
+        outbox_ += event->bytes;
+    }
+    if (driven.splitter.malformed())
+        return false;
+    wake();
+    return true;
+}
+
+void stream_exchange::on_takeover(stream_run const& successor, forwarding::stream_event const& event) {
+    auto const now = base::clock::now();
+    log::write(log::event_kind::stream_switched,
+               {{"request", request_.caller.id},
+                {"target", successor.target},
+                {"event", event.id.value_or(0)},
+                {"last_event", relay_.last_event().value_or(0)},
+                {"gap_ms", events_ == 0 ? 0 : milliseconds_since(last_passed_, now)}});
+    ++switches_;
+    cancel_others(successor.number);
+    successor_changed_.cancel();
+}
+
+base::milliseconds stream_exchange::silence_limit(stream_run const& driven) const {
+    auto const left = request_.time_left(base::clock::now());
+    if (driven.number == relay_.successor() && !driven.got_event)
+        return std::min(left, successor_patience);
+    bool const may_repeat = request_.may_run_again() && targets_run_ + 1 < request_.route->maximum_attempts;
+    if (!driven.got_event)
+        return may_repeat ? std::min(left, request_.route->latency_objective) : left;
+    if (!driven.backup_target.empty())
+        return std::min(left, silence_with_backup);
+    return may_repeat ? std::min(left, silence_when_resumable) : left;
+}
+
+void stream_exchange::cancel_others(forwarding::run_number kept) {
+    // A cancelled run ends in its own coroutine, which changes the list.
+    auto const runs = runs_;
+    for (auto const& item : runs) {
+        if (item->number != kept)
+            item->cancel();
+    }
+}
+
+void stream_exchange::on_end(stream_run& ended, send_result result) {
+    if (caller_left_ || phase_ != phase::running)
+        return;
+    bool const was_active = ended.number == relay_.active();
+    bool const complete = result.outcome == send_outcome::answered && !result.answer;
+    switch (relay_.on_end(ended.number, complete)) {
+    case forwarding::end_verdict::complete:
+        phase_ = phase::complete;
+        return;
+    case forwarding::end_verdict::go_on:
+        if (!was_active && !ended.cancelled)
+            log::write(log::event_kind::stream_copy_failed, {{"request", request_.caller.id},
+                                                             {"target", ended.target},
+                                                             {"reason", result.reason}});
+        return;
+    case forwarding::end_verdict::recover:
+        used_.push_back(ended.target);
+        recover(ended, std::move(result));
+        return;
+    }
+}
+
+void stream_exchange::recover(stream_run& ended, send_result result) {
+    auto const now = base::clock::now();
+    if (result.outcome != send_outcome::not_run && resume_from_backup(ended))
+        return;
+    bool const passed = relay_.passed_any();
+    bool const has_runs_left = targets_run_ < request_.route->maximum_attempts;
+    // A successor that was refused leaves a run that has happened, whatever its refusal states.
+    bool const never_ran = result.outcome == send_outcome::not_run && targets_run_ == 0;
+    bool const again = never_ran || (request_.may_run_again() && has_runs_left &&
+                                     (result.outcome != send_outcome::answered || result.server_error()));
+    if (again && parts_.board.allowance(request_.service).try_spend(parts_.board.fleet.entry_count(), now)) {
+        log::write(passed ? log::event_kind::stream_recovered : log::event_kind::request_sent_again,
+                   {{"request", request_.caller.id}, {"after", used_.back()}, {"reason", result.reason}});
+        parts_.metrics.add(metrics::counter_kind::retries);
+        phase_ = phase::wanting_run;
+        return;
+    }
+    if (!passed && result.answer && (result.outcome == send_outcome::answered || targets_run_ == 0)) {
+        answer_ = std::move(result.answer);
+        phase_ = phase::answered;
+        return;
+    }
+    if (never_ran) {
+        fail(base::make_error(base::error_kind::overloaded, "no target took the request", base::milliseconds{500}),
+             result.reason);
+        return;
+    }
+    fail(base::make_error(base::error_kind::generation_lost, "the target was lost: " + result.reason), result.reason);
+}
+
+bool stream_exchange::resume_from_backup(stream_run& ended) {
+    auto const copy = take_backup(ended);
+    if (!copy)
+        return false;
+    launch(make_resuming_run(relay_.start_run(), *copy));
+    log::write(log::event_kind::stream_recovered, {{"request", request_.caller.id},
+                                                   {"target", copy->target},
+                                                   {"reason", "backup"},
+                                                   {"event", relay_.last_event().value_or(0)}});
+    return true;
+}
+
+std::optional<stream_exchange::held_copy> stream_exchange::take_backup(stream_run& run) {
+    // A copy that was refused once is not there.
+    auto const target = std::exchange(run.backup_target, {});
+    auto const* holder = parts_.board.fleet.find(target);
+    if (holder == nullptr || holder->leaving(base::clock::now()))
+        return std::nullopt;
+    return held_copy{target, {run.context.backup_address, request_.caller.id}};
+}
+
+stream_run_pointer stream_exchange::make_resuming_run(forwarding::run_number number, held_copy const& copy) {
+    auto const now = base::clock::now();
+    parts_.board.fleet.begin_request(copy.target, request_.caller.size, now);
+    parts_.board.allowance(request_.service).spend(now);
+    auto started = make_run(number, copy.target);
+    started->context.resume_from = copy.memory;
+    started->context.resume_after = relay_.last_event();
+    choose_backup(*started);
+    return started;
+}
+
+void stream_exchange::fail(base::error failure, std::string_view reason) {
+    log::write(log::event_kind::request_failed, {{"request", request_.caller.id},
+                                                 {"reason", reason},
+                                                 {"events", events_},
+                                                 {"targets", targets_run_}});
+    if (!head_sent_ && !relay_.passed_any()) {
+        answer_ = own_answer(failure);
+        phase_ = phase::answered;
+    } else {
+        phase_ = phase::failed;
+    }
+    wake();
+}
+
+void stream_exchange::on_fleet_change() {
+    if (moving_ || phase_ != phase::running || caller_left_)
+        return;
+    auto const active = find_run(relay_.active());
+    if (!active || !active->sent)
+        return;
+    auto const* view = parts_.board.fleet.find(active->target);
+    if (view == nullptr || !view->leaving(base::clock::now()))
+        return;
+    moving_ = true;
+    asio::co_spawn(parts_.context, move_away(self_pointer{this}), asio::detached);
+}
+
+std::uint32_t stream_exchange::tokens_held() const {
+    auto const prompt = request_.caller.size ? request_.caller.size->prompt : 0;
+    return prompt + static_cast<std::uint32_t>(events_) * (engine_ == nullptr ? 1 : engine_->tokens_per_event);
+}
+
+base::milliseconds stream_exchange::expected_remaining() const {
+    auto const size = request_.caller.size.value_or(forwarding::generation_size{});
+    auto const expected = std::max(size.expected_output(), 1U);
+    auto const made = static_cast<std::uint32_t>(events_) * (engine_ == nullptr ? 1 : engine_->tokens_per_event);
+    return time_per_token * (expected > made ? expected - made : 1);
+}
+
+asio::awaitable<void> stream_exchange::pause(base::milliseconds length) {
+    asio::steady_timer timer{parts_.context, length};
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> stream_exchange::move_away(self_pointer) {
+    std::vector<std::string> refused;
+    for (int attempt = 0; attempt < most_move_attempts; ++attempt) {
+        auto const source = find_run(relay_.active());
+        auto const* view = source ? parts_.board.fleet.find(source->target) : nullptr;
+        bool const wanted = phase_ == phase::running && !caller_left_ && engine_ != nullptr && engine_->moves;
+        if (!wanted || view == nullptr || !view->leaving(base::clock::now()))
+            break;
+        auto const backup = take_backup(*source);
+        if (backup && co_await go_on_from_copy(*backup))
+            break;
+        if (co_await try_move(source, refused))
+            break;
+        co_await pause(move_retry_pause);
+    }
+    moving_ = false;
+}
+
+asio::awaitable<bool> stream_exchange::try_move(stream_run_pointer source, std::vector<std::string>& refused) {
+    auto need = request_.placement();
+    need.excluded = refused;
+    need.size = forwarding::generation_size{tokens_held(), request_.caller.size ? 400U : 0U, 0};
+    auto const chosen =
+        parts_.board.fleet.choose_copy_holder(need, source->target, copy_room_share, base::clock::now());
+    if (chosen.kind != forwarding::placement_kind::placed) {
+        refused.clear();
+        co_return false;
+    }
+    auto const destination = parts_.board.fleet.find(chosen.target)->record.address;
+    auto const agent = source->address;
+    // GCC 12 destroys a braced argument of an awaited call twice, so these are named.
+    link_turn_client::wish wish{agent, request_.caller.id, tokens_held(), expected_remaining()};
+    co_await parts_.turns.wait_for_turn(std::move(wish));
+    if (source->ended || phase_ != phase::running || caller_left_) {
+        parts_.turns.end_turn(agent, request_.caller.id);
+        co_return true;
+    }
+    auto const began = base::clock::now();
+    auto const connected = co_await parts_.connections.acquire(source->address, connect_timeout, any_idle_time);
+    platform::copy_result copied;
+    if (connected) {
+        platform::copy_order order{request_.caller.id, destination, false};
+        copied = co_await platform::copy_memory(*connected.value(), std::move(order), copy_timeout);
+        parts_.connections.release(source->address, connected.value(), {});
+    }
+    parts_.turns.end_turn(agent, request_.caller.id);
+    auto const now = base::clock::now();
+    if (copied.outcome != platform::copy_outcome::copied) {
+        if (copied.outcome == platform::copy_outcome::no_room)
+            refused.push_back(chosen.target);
+        log::write(log::event_kind::stream_copy_failed, {{"request", request_.caller.id},
+                                                         {"from", source->target},
+                                                         {"target", chosen.target},
+                                                         {"reason", platform::name_of(copied.outcome)},
+                                                         {"tokens", tokens_held()},
+                                                         {"room", describe_room(chosen.target)},
+                                                         {"duration_ms", milliseconds_since(began, now)}});
+        co_return false;
+    }
+    log::write(log::event_kind::stream_copied, {{"request", request_.caller.id},
+                                                {"from", source->target},
+                                                {"target", chosen.target},
+                                                {"tokens", tokens_held()},
+                                                {"duration_ms", milliseconds_since(began, now)}});
+    held_copy copy{chosen.target, {source->address, copied.handle}};
+    bool const taken_over = co_await go_on_from_copy(std::move(copy));
+    if (!taken_over)
+        refused.push_back(chosen.target);
+    co_return taken_over;
+}
+
+asio::awaitable<bool> stream_exchange::go_on_from_copy(held_copy copy) {
+    if (phase_ != phase::running || caller_left_)
+        co_return true;
+    auto const started = make_resuming_run(relay_.start_successor(), copy);
+    launch(started);
+    while (!started->ended && relay_.active() != started->number && !caller_left_) {
+        successor_changed_.expires_after(successor_patience);
+        auto const [code] = co_await successor_changed_.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!code)
+            break;
+    }
+    bool const taken_over = relay_.active() == started->number;
+    if (!taken_over && !started->ended)
+        started->cancel();
+    co_return taken_over;
+}
+
+asio::awaitable<void> stream_exchange::write_to_caller() {
+    if (!head_sent_) {
+        head_sent_ = true;
+        if (!co_await request_.client->start_stream(*head_)) {
+            on_caller_left();
+            co_return;
+        }
+    }
+    auto const text = std::exchange(outbox_, {});
+    if (!text.empty() && !co_await request_.client->send_chunk(text))
+        on_caller_left();
+}
+
+asio::awaitable<void> stream_exchange::finish() {
+    if (caller_left_) {
+        log::write(log::event_kind::request_cancelled, {{"request", request_.caller.id}, {"events", events_}});
+        request_.client->end_after_answer();
+        request_.client->close();
+        co_return;
+    }
+    if (phase_ == phase::answered && answer_) {
+        std::ignore = co_await request_.client->send(std::move(*answer_));
+        co_return;
+    }
+    if (phase_ == phase::complete) {
+        if (!head_sent_ && head_) {
+            head_sent_ = true;
+            std::ignore = co_await request_.client->start_stream(*head_);
+        }
+        std::ignore = co_await request_.client->finish_stream();
+        log::write(log::event_kind::request_finished, {{"request", request_.caller.id},
+                                                       {"events", events_},
+                                                       {"switches", switches_},
+                                                       {"longest_gap_ms", longest_gap_.count()}});
+        co_return;
+    }
+    // Without its last chunk the answer does not look complete.
+    request_.client->end_after_answer();
+    request_.client->close();
+}
+
+void stream_exchange::on_caller_left() {
+    caller_left_ = true;
+    cancel_others(forwarding::no_run);
+    parts_.placements.on_capacity_change();
+    successor_changed_.cancel();
+    wake();
+}
+
+} // namespace cyclamenledge::forwarding_entry
--- /dev/null
+++ b/Libraries/forwarding_entry/stream_registry.cpp
@@ -0,0 +1,24 @@
+#include "forwarding_entry/stream_registry.h"
+
+#include "forwarding_entry/stream_exchange.h"
+
+namespace cyclamenledge::forwarding_entry {
+
+void stream_registry::add(stream_exchange& stream) {
+    streams_.push_back(stream);
+}
+
+void stream_registry::on_fleet_change() {
+    for (auto place = streams_.begin(); place != streams_.end();) {
+        // A stream may leave the list while it is told.
+        auto& stream = static_cast<stream_exchange&>(*place);
+        ++place;
+        stream.on_fleet_change();
+    }
+}
+
+std::size_t stream_registry::size() const {
+    return streams_.size();
+}
+
+} // namespace cyclamenledge::forwarding_entry
--- /dev/null
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "forwarding/event_splitter.h"
+#include "forwarding/stream_relay.h"
+#include "http/upstream_connection.h"
+#include "platform/request_headers.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <string>
+
+namespace cyclamenledge::forwarding_entry {
+
+/// One run of a streamed request at one target.
+struct stream_run : public boost::intrusive_ref_counter<stream_run> {
+    forwarding::run_number number{forwarding::no_run};
+    std::string target;
+    std::string address;
+    std::int64_t started_at{0};
+    platform::forwarded_context context;
+    /// Where the memory of the run is replicated. Empty without a backup, and once that was tried.
+    std::string backup_target;
+    /// Null until the connection stands and after the run has ended.
+    http::upstream_pointer connection;
+    forwarding::event_splitter splitter;
+    base::time_point last_event{};
+    bool sent{false};
+    bool got_event{false};
+    /// Cut off by this process.
+    bool cancelled{false};
+    bool ended{false};
+
+    void cancel() {
+        cancelled = true;
+        if (connection)
+            connection->close();
+    }
+};
+
+using stream_run_pointer = boost::intrusive_ptr<stream_run>;
+
+} // namespace cyclamenledge::forwarding_entry
--- a/Libraries/http/server.h
+++ b/Libraries/http/server.h
@@ -32,6 +32,9 @@
     /// Closes the listening socket. Open sessions end after their current request.
     void stop_accepting();
 
+    /// Puts other limits in force for the following requests. Only for servers whose sessions run on one thread.
+    void set_limits(server_limits const& limits) { limits_ = limits; }
+
     std::uint32_t open_sessions() const { return open_sessions_; }
 
 private:
--- a/Libraries/http/session.cpp
+++ b/Libraries/http/session.cpp
@@ -114,9 +114,16 @@
 }
 
 awaitable_result<void> session::start_stream(std::string_view content_type) {
-    beast_http::response<beast_http::empty_body> head{beast_http::status::ok, http_version_1_1};
-    head.set(beast_http::field::content_type, beast::string_view{content_type.data(), content_type.size()});
-    head.set(beast_http::field::cache_control, "no-cache");
+    beast_http::response_header<> fields;
+    fields.result(beast_http::status::ok);
+    fields.set(beast_http::field::content_type, beast::string_view{content_type.data(), content_type.size()});
+    fields.set(beast_http::field::cache_control, "no-cache");
+    co_return co_await start_stream(std::move(fields));
+}
+
+awaitable_result<void> session::start_stream(beast_http::response_header<> fields) {
+    beast_http::response<beast_http::empty_body> head{std::move(fields)};
+    head.version(http_version_1_1);
     head.keep_alive(keep_alive_);
     head.chunked(true);
     beast_http::response_serializer<beast_http::empty_body> serializer{head};
--- a/Libraries/http/session.h
+++ b/Libraries/http/session.h
@@ -23,6 +23,8 @@
     awaitable_result<request> read_request();
     awaitable_result<void> send(response answer);
 
+    /// Sends the head of an answer whose body follows in chunks.
+    awaitable_result<void> start_stream(beast_http::response_header<> head);
     /// Sends the head of a chunked answer with the given content type.
     awaitable_result<void> start_stream(std::string_view content_type);
     awaitable_result<void> send_chunk(std::string text);
--- /dev/null
+++ b/Libraries/http/upstream_connection.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "base/time.h"
+#include "http/message.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <optional>
+#include <string>
+
+namespace cyclamenledge::http {
+
+using response_head = beast_http::response_header<>;
+
+/// A client connection that carries one request after another and reads each answer while it arrives.
+/// One coroutine may send while another one reads.
+class upstream_connection : public boost::intrusive_ref_counter<upstream_connection> {
+public:
+    upstream_connection(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint endpoint);
+
+    awaitable_result<void> connect(base::milliseconds timeout);
+    awaitable_result<void> send(request const& message, base::milliseconds timeout);
+    /// Reads the head of the next answer. The answer to a HEAD request has no body.
+    awaitable_result<response_head> read_head(base::milliseconds timeout, bool body_expected = true);
+    /// The next part of the body, empty at its end. Fails when the answer is cut off.
+    awaitable_result<std::string> read_body(base::milliseconds timeout);
+    /// Reads the rest of a body of at most the given size.
+    awaitable_result<std::string> read_whole_body(std::size_t maximum_bytes, base::milliseconds timeout);
+
+    /// Whether the answer was read to its end and the connection may carry another request.
+    bool reusable() const;
+    /// Whether the peer has neither closed the connection nor sent bytes that nobody asked for.
+    bool quiet();
+    void close();
+    bool open() const { return open_; }
+    bool sent_anything() const { return sent_anything_; }
+    base::time_point idle_since() const { return idle_since_; }
+    boost::asio::ip::tcp::endpoint const& endpoint() const { return endpoint_; }
+
+private:
+    using parser = beast_http::response_parser<beast_http::buffer_body>;
+
+    void limit_read(base::milliseconds timeout);
+    base::error read_error(boost::system::error_code code) const;
+
+    boost::beast::tcp_stream stream_;
+    boost::asio::ip::tcp::endpoint endpoint_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<parser> parser_;
+    bool open_{false};
+    bool sending_{false};
+    bool failed_{false};
+    bool sent_anything_{false};
+    base::time_point idle_since_{};
+};
+
+using upstream_pointer = boost::intrusive_ptr<upstream_connection>;
+
+} // namespace cyclamenledge::http
--- a/Libraries/log/logger.h
+++ b/Libraries/log/logger.h
@@ -2,6 +2,7 @@
 
 #include "base/result.h"
 #include "log/event_kind.h"
+#include "log/line_budget.h"
 
 #include <concepts>
 #include <initializer_list>
@@ -25,10 +26,15 @@
         , value(std::to_string(number)) {}
 };
 
-/// Sets up log4cplus to write one line per event to standard error.
-base::result<void> start_logging(std::string const& level, std::string const& process_name);
+/// How events are written: lines for people on standard error, or one JSON object a line on standard output.
+enum class output_format : std::uint8_t { text, json };
 
-/// Writes an event as "E<number> <name> key=value ...". Values with spaces are quoted.
+/// Sets up log4cplus to write one line per event.
+base::result<void> start_logging(std::string const& level, std::string const& process_name,
+                                 output_format format = output_format::text);
+
+/// Writes an event as "E<number> <name> key=value ...", with values that have spaces in quotes, or as a JSON object.
+/// JSON lines are dropped, and counted, beyond a rate and while nobody reads the output.
 void write(event_kind kind, std::initializer_list<field> fields = {});
 
 } // namespace cyclamenledge::log
--- a/Libraries/process/runtime.cpp
+++ b/Libraries/process/runtime.cpp
@@ -30,7 +30,7 @@
     membership::drain_settings result;
     result.drain_accept = settings.drain_accept;
     if (settings.drain_limit)
-        result.drain_limit = *settings.drain_limit;
+        result.drain_limit = *settings.drain_limit - settings.drain_margin;
     return result;
 }
 
@@ -50,6 +50,7 @@
     , context_(static_cast<int>(settings_.threads))
     , hub_(context_, authenticator_, identity_, metrics_)
     , signals_(context_, SIGTERM, SIGINT)
+    , reload_signals_(context_, SIGHUP)
     , drain_(drain_settings_of(settings_)) {}
 
 bool runtime::begin_request() {
@@ -81,6 +82,7 @@
 
 void runtime::run(std::function<void()> on_refusing) {
     auto const work = asio::make_work_guard(context_);
+    asio::co_spawn(context_, follow_reloads(), asio::detached);
     asio::co_spawn(context_, lead_planned_stop(std::move(on_refusing)), asio::detached);
     std::vector<std::jthread> workers;
     for (std::uint32_t index = 1; index < settings_.threads; ++index)
@@ -88,6 +90,16 @@
     context_.run();
 }
 
+// Settings are read at start only. Without a handler, the signal would end the process.
+asio::awaitable<void> runtime::follow_reloads() {
+    while (true) {
+        auto [code, signal] = co_await reload_signals_.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (code)
+            co_return;
+        log::write(log::event_kind::reload_ignored, {{"signal", signal}});
+    }
+}
+
 asio::awaitable<void> runtime::lead_planned_stop(std::function<void()> on_refusing) {
     co_await signals_.async_wait(asio::use_awaitable);
     log::write(log::event_kind::process_draining, {{"open_requests", open_requests()}});
--- a/Libraries/process/runtime.h
+++ b/Libraries/process/runtime.h
@@ -59,6 +59,7 @@
 private:
     runtime(settings::process_settings settings, wire::authenticator authenticator);
 
+    boost::asio::awaitable<void> follow_reloads();
     boost::asio::awaitable<void> lead_planned_stop(std::function<void()> on_refusing);
 
     settings::process_settings settings_;
@@ -72,6 +73,7 @@
     blackboard board_;
     std::vector<std::pair<std::string, std::function<boost::json::object()>>> state_parts_;
     boost::asio::signal_set signals_;
+    boost::asio::signal_set reload_signals_;
     // Leaf lock: no other lock is taken while it is held.
     mutable std::mutex drain_mutex_;
     membership::drain_controller drain_;
--- a/Libraries/settings/settings.h
+++ b/Libraries/settings/settings.h
@@ -10,7 +10,19 @@
 
 namespace cyclamenledge::settings {
 
-enum class process_role : std::uint8_t { entry, agent };
+/// The forwarding roles pass requests on unchanged and learn routes and targets from a metadata store.
+enum class process_role : std::uint8_t { entry, agent, forwarding_entry, forwarding_agent };
+
+constexpr bool is_forwarding(process_role role) {
+    return role == process_role::forwarding_entry || role == process_role::forwarding_agent;
+}
+/// Whether the process takes requests of callers.
+constexpr bool serves_callers(process_role role) {
+    return role == process_role::entry || role == process_role::forwarding_entry;
+}
+
+/// text: lines for people on standard error. json: one object a line on standard output.
+enum class log_format : std::uint8_t { text, json };
 
 /// Bounds on what a caller may send.
 struct caller_limits {
@@ -20,6 +32,23 @@
     std::uint32_t connections{20000};
 };
 
+/// Settings that only the forwarding roles have.
+struct forwarding_settings {
+    /// Where the balancer asks whether the entry is ready, as IP:PORT.
+    std::optional<std::string> readiness_address;
+    /// Metadata store with routes and targets, as IP:PORT.
+    std::optional<std::string> store_address;
+    /// Port on which the agents listen for entries.
+    std::uint32_t agent_port{0};
+    /// Failure domains with their regions, each as DOMAIN=REGION.
+    std::vector<std::string> regions;
+    /// Sends beyond the first one of each request, over all entries: this share of a service's requests in a window
+    /// plus a reserve.
+    double retry_share{0.1};
+    std::uint32_t retry_reserve{10};
+    base::seconds retry_window{10};
+};
+
 /// Settings of one daemon, read from YAML at start.
 struct process_settings {
     process_role role{process_role::entry};
@@ -55,7 +84,11 @@
     base::milliseconds drain_accept{5000};
     /// Longest time for running requests after SIGTERM. Without it, every request is finished.
     std::optional<base::milliseconds> drain_limit;
+    /// Taken off drain_limit, so that the process ends before whoever stops it kills it.
+    base::milliseconds drain_margin{0};
     std::string log_level{"info"};
+    log_format format{log_format::text};
+    forwarding_settings forwarding;
 };
 
 } // namespace cyclamenledge::settings
--- a/Libraries/settings/settings_reader.cpp
+++ b/Libraries/settings/settings_reader.cpp
@@ -14,7 +14,9 @@
 using yaml_reader::text_list;
 using enum yaml_reader::presence;
 
-constexpr base::name_table<process_role, 2> role_names{base::make_names({"entry", "agent"})};
+constexpr base::name_table<process_role, 4> role_names{
+    base::make_names({"entry", "agent", "forwarding_entry", "forwarding_agent"})};
+constexpr base::name_table<log_format, 2> format_names{base::make_names({"text", "json"})};
 
 field_table<caller_limits> const& limit_fields() {
     static field_table<caller_limits> const fields{
@@ -26,6 +28,19 @@
     return fields;
 }
 
+field_table<forwarding_settings> const& forwarding_fields() {
+    static field_table<forwarding_settings> const fields{
+        scalar("readiness_address", &forwarding_settings::readiness_address),
+        scalar("store_address", &forwarding_settings::store_address),
+        scalar("agent_port", &forwarding_settings::agent_port),
+        text_list("regions", &forwarding_settings::regions),
+        scalar("retry_share", &forwarding_settings::retry_share),
+        scalar("retry_reserve", &forwarding_settings::retry_reserve),
+        scalar("retry_window", &forwarding_settings::retry_window),
+    };
+    return fields;
+}
+
 field_table<process_settings> const& settings_fields() {
     static field_table<process_settings> const fields{
         yaml_reader::choice("role", &process_settings::role, role_names, required),
@@ -45,7 +60,10 @@
         yaml_reader::object("limits", &process_settings::limits, limit_fields()),
         scalar("drain_accept", &process_settings::drain_accept),
         scalar("drain_limit", &process_settings::drain_limit),
+        scalar("drain_margin", &process_settings::drain_margin),
         scalar("log_level", &process_settings::log_level),
+        yaml_reader::choice("log_format", &process_settings::format, format_names),
+        yaml_reader::object("forwarding", &process_settings::forwarding, forwarding_fields()),
     };
     return fields;
 }
--- a/Libraries/settings/settings_validator.cpp
+++ b/Libraries/settings/settings_validator.cpp
@@ -56,7 +56,7 @@
 
 /// An address that belongs to the other role is an error, since it would silently have no effect.
 bool belongs_to_role(process_settings const& settings, std::string_view key) {
-    return settings.role == process_role::entry ? key != "target_address" : key != "caller_address";
+    return serves_callers(settings.role) ? key != "target_address" : key != "caller_address";
 }
 
 void check_addresses(process_settings const& settings, path const& root, violations& out) {
@@ -121,6 +121,38 @@
         out.add({&root, "catalogue_file"}, "an empty text", "a path");
 }
 
+void check_forwarding(process_settings const& settings, path const& root, violations& out) {
+    path const at{&root, "forwarding"};
+    auto const& forwarding = settings.forwarding;
+    if (!is_forwarding(settings.role)) {
+        if (forwarding.readiness_address || forwarding.store_address || !forwarding.regions.empty())
+            out.add(at, "settings of a forwarding role", "the roles forwarding_entry and forwarding_agent only");
+        return;
+    }
+    // The tables of these roles belong to the one thread of the event loop.
+    if (settings.threads != 1)
+        out.add({&root, "threads"}, std::to_string(settings.threads) + " threads", "1 for a forwarding role");
+    for (std::size_t index = 0; index < forwarding.regions.size(); ++index) {
+        auto const& text = forwarding.regions[index];
+        auto const mark = text.find('=');
+        if (mark == std::string::npos || mark == 0 || mark + 1 == text.size())
+            out.add(path{&at, "regions"}, yaml_reader::quote(text), "DOMAIN=REGION");
+    }
+    if (settings.role == process_role::forwarding_agent)
+        return;
+    if (forwarding.readiness_address)
+        add_address(*forwarding.readiness_address, {&at, "readiness_address"}, out);
+    if (!forwarding.store_address)
+        out.add({&at, "store_address"}, "no such key", "an address, for a forwarding entry");
+    else
+        add_address(*forwarding.store_address, {&at, "store_address"}, out);
+    check_range(forwarding, at, range{"agent_port", &forwarding_settings::agent_port, 1U, 65535U}, out);
+    check_range(forwarding, at, range{"retry_share", &forwarding_settings::retry_share, 0.0, 1.0}, out);
+    if (forwarding.retry_window < base::seconds{1} || forwarding.retry_window > base::seconds{60})
+        out.add({&at, "retry_window"}, yaml_reader::value_text(base::milliseconds{forwarding.retry_window}),
+                "1 s to 60 s");
+}
+
 void check_limits(caller_limits const& limits, path const& root, violations& out) {
     path const at{&root, "limits"};
     constexpr std::size_t kibibyte = 1024;
@@ -139,6 +171,8 @@
         out);
     if (settings.drain_limit && *settings.drain_limit < milliseconds{1})
         out.add({&root, "drain_limit"}, yaml_reader::value_text(*settings.drain_limit), "at least 1 ms");
+    if (settings.drain_margin.count() > 0 && settings.drain_margin >= settings.drain_limit.value_or(milliseconds{0}))
+        out.add({&root, "drain_margin"}, yaml_reader::value_text(settings.drain_margin), "less than drain_limit");
 }
 
 } // namespace
@@ -162,6 +196,7 @@
     check_shared_keys(settings, root, out);
     check_limits(settings.limits, root, out);
     check_drain(settings, root, out);
+    check_forwarding(settings, root, out);
     return out.take();
 }
 
--- a/Libraries/wire/message_kind.cpp
+++ b/Libraries/wire/message_kind.cpp
@@ -38,6 +38,12 @@
     {"credit_grant", control, verify<schema::CreditGrant>},
     {"owner_question", data, verify<schema::OwnerQuestion>},
     {"owner_reply", data, verify<schema::OwnerReply>},
+    {"engine_state", control, verify<schema::EngineState>},
+    {"link_turn_request", control, verify<schema::LinkTurnRequest>},
+    {"link_turn", control, verify<schema::LinkTurn>},
+    {"link_turn_done", control, verify<schema::LinkTurnDone>},
+    {"publication_request", control, verify<schema::PublicationRequest>},
+    {"publications", control, verify<schema::Publications>},
 }};
 
 } // namespace
--- a/Libraries/wire/message_kind.h
+++ b/Libraries/wire/message_kind.h
@@ -35,8 +35,14 @@
     credit_grant,
     owner_question,
     owner_reply,
+    engine_state,
+    link_turn_request,
+    link_turn,
+    link_turn_done,
+    publication_request,
+    publications,
 };
-inline constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::owner_reply) + 1;
+inline constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::publications) + 1;
 
 /// Whether a frame counts towards the control cost or carries callers' data.
 enum class traffic_kind : std::uint8_t { control, data };
@@ -85,6 +91,12 @@
 CYCLAMENLEDGE_MESSAGE(credit_grant, CreditGrant)
 CYCLAMENLEDGE_MESSAGE(owner_question, OwnerQuestion)
 CYCLAMENLEDGE_MESSAGE(owner_reply, OwnerReply)
+CYCLAMENLEDGE_MESSAGE(engine_state, EngineState)
+CYCLAMENLEDGE_MESSAGE(link_turn_request, LinkTurnRequest)
+CYCLAMENLEDGE_MESSAGE(link_turn, LinkTurn)
+CYCLAMENLEDGE_MESSAGE(link_turn_done, LinkTurnDone)
+CYCLAMENLEDGE_MESSAGE(publication_request, PublicationRequest)
+CYCLAMENLEDGE_MESSAGE(publications, Publications)
 
 #undef CYCLAMENLEDGE_MESSAGE
 
--- a/Services/cyclamenledged/main.cpp
+++ b/Services/cyclamenledged/main.cpp
@@ -1,5 +1,7 @@
 #include "agent/agent_role.h"
 #include "entry/entry_role.h"
+#include "forwarding_agent/forwarding_agent_role.h"
+#include "forwarding_entry/forwarding_entry_role.h"
 #include "log/logger.h"
 #include "process/configuration_controller.h"
 #include "process/membership_controller.h"
@@ -27,23 +29,40 @@
 }
 
 // In the order of settings::process_role.
-constexpr std::array<role_factory, 2> role_factories{&make_role<entry::entry_role>, &make_role<agent::agent_role>};
+constexpr std::array<role_factory, 4> role_factories{
+    &make_role<entry::entry_role>, &make_role<agent::agent_role>, &make_role<forwarding_entry::forwarding_entry_role>,
+    &make_role<forwarding_agent::forwarding_agent_role>};
+
+void run_until_stopped(process::runtime& daemon, process::role& served) {
+    log::write(log::event_kind::process_started,
+               {{"incarnation", daemon.identity().incarnation}, {"threads", daemon.settings().threads}});
+    daemon.run([&served] { served.stop_accepting(); });
+}
+
+/// Roles that follow the catalogue; the forwarding roles learn everything from the metadata store.
+base::result<void> run_with_catalogue(process::runtime& daemon, process::role& served) {
+    BOOST_OUTCOME_TRY(auto const members, process::membership_controller::create(daemon, served));
+    BOOST_OUTCOME_TRY(auto const configuration, process::configuration_controller::create(daemon, served, *members));
+    BOOST_OUTCOME_TRYV(configuration->start());
+    BOOST_OUTCOME_TRYV(served.start());
+    members->start();
+    run_until_stopped(daemon, served);
+    return base::success();
+}
 
 base::result<void> run(std::string const& path) {
     BOOST_OUTCOME_TRY(auto configured, settings::read_settings_file(path));
-    BOOST_OUTCOME_TRYV(log::start_logging(configured.log_level, configured.name));
+    BOOST_OUTCOME_TRYV(log::start_logging(configured.log_level, configured.name,
+                                        configured.format == settings::log_format::json ? log::output_format::json
+                                                                                        : log::output_format::text));
 
     BOOST_OUTCOME_TRY(auto const daemon, process::runtime::create(std::move(configured)));
     auto const make = role_factories.at(static_cast<std::size_t>(daemon->settings().role));
     BOOST_OUTCOME_TRY(auto const served, make(*daemon));
-    BOOST_OUTCOME_TRY(auto const members, process::membership_controller::create(*daemon, *served));
-    BOOST_OUTCOME_TRY(auto const configuration, process::configuration_controller::create(*daemon, *served, *members));
-    BOOST_OUTCOME_TRYV(configuration->start());
+    if (!settings::is_forwarding(daemon->settings().role))
+        return run_with_catalogue(*daemon, *served);
     BOOST_OUTCOME_TRYV(served->start());
-    members->start();
-    log::write(log::event_kind::process_started,
-               {{"incarnation", daemon->identity().incarnation}, {"threads", daemon->settings().threads}});
-    daemon->run([&served] { served->stop_accepting(); });
+    run_until_stopped(*daemon, *served);
     return base::success();
 }
 
