Copy running streams inside a failure domain and keep backups there

Ruled out: full engines (refused destinations reported half of their memory free) and the number of copies held.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -11,6 +11,8 @@
 // costs two more round trips of a wide-area link and its price for each byte.
 constexpr double domain_distance = 0.05;
 constexpr double region_distance = 0.25;
+// Weighs more than any load, so that copies stay inside a failure domain while an engine there has room.
+constexpr double copy_distance = 100;
 // Spreads entries with equal views over targets of nearly equal load.
 constexpr double score_jitter = 0.06;
 // Share of its memory that an engine is filled up to, so that outputs longer than expected find room.
@@ -223,13 +225,18 @@
 
 placement fleet_view::choose_copy_holder(placement_request const& request, std::string const& source,
                                          double room_share, base::time_point now) {
+    auto const* source_view = find(source);
     target_view* best = nullptr;
     double best_score = 0;
     for (auto& [id, target] : targets_) {
         if (id == source || !usable(target, request, now) || target.health.ejected(now) ||
             !allowed_while_cold(target, now) || (request.size && !has_room(target, *request.size, room_share, now)))
             continue;
-        double const score = load(target, request.size, now) + distance(target) + score_jitter * random_.unit();
+        // A copy to another failure domain takes about ten times as long and keeps other copies off the link.
+        bool const same_domain = source_view != nullptr &&
+                                 target.record.failure_domain == source_view->record.failure_domain;
+        double const score = load(target, request.size, now) + (same_domain ? 0 : copy_distance) +
+                             score_jitter * random_.unit();
         if (best == nullptr || score < best_score) {
             best = &target;
             best_score = score;
@@ -269,6 +276,12 @@
     return found == targets_.end() ? nullptr : &found->second;
 }
 
+bool fleet_view::same_domain(std::string const& one, std::string const& other) const {
+    auto const* first = find(one);
+    auto const* second = find(other);
+    return first != nullptr && second != nullptr && first->record.failure_domain == second->record.failure_domain;
+}
+
 void fleet_view::expire(base::time_point now) {
     std::erase_if(targets_, [&](auto const& entry) {
         auto const& target = entry.second;
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -113,6 +113,7 @@
     void record_outcome(std::string const& id, target_outcome outcome, base::time_point now);
 
     target_view const* find(std::string const& id) const;
+    bool same_domain(std::string const& one, std::string const& other) const;
     std::map<std::string, target_view> const& targets() const { return targets_; }
     bool evacuated(std::string const& failure_domain) const { return evacuated_.contains(failure_domain); }
     /// Entries that share the targets, as the agents count them. At least one.
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -42,7 +42,7 @@
 constexpr int most_move_attempts = 40;
 // Engines are filled with copies up to this share of their memory. A backup leaves room for new requests.
 constexpr double copy_room_share = 0.97;
-constexpr double backup_room_share = 0.70;
+constexpr double backup_room_share = 0.55;
 // Time of an engine for one token of a run among a few others.
 constexpr base::milliseconds time_per_token{10};
 
@@ -128,7 +128,7 @@
         return;
     auto const chosen = parts_.board.fleet.choose_copy_holder(request_.placement(), started.target, backup_room_share,
                                                               base::clock::now());
-    if (chosen.kind != forwarding::placement_kind::placed)
+    if (chosen.kind != forwarding::placement_kind::placed || !parts_.board.fleet.same_domain(chosen.target, started.target))
         return;
     started.backup_target = chosen.target;
     started.context.backup_address = parts_.board.fleet.find(chosen.target)->record.address;
