Place streams by the prompts that an engine still has to read

The store was watched 3.5 times a second by each entry. One request reached an evacuated failure domain from a copy chosen before, and one stream was taken 3.3 s after SIGTERM and cut off. Change: reports carry the prompts that are being read; an engine gets another one only while few are ahead, else the request waits here. Watches pause so that changes gather. A copy's target is checked again before it is used.

--- a/Libraries/forwarding/engine_report.h
+++ b/Libraries/forwarding/engine_report.h
@@ -16,6 +16,8 @@
     std::optional<base::milliseconds> leaves_in;
     std::uint32_t running{0};
     std::uint32_t queued{0};
+    /// Running requests whose prompt is still being read.
+    std::uint32_t reading{0};
     /// Memory that cannot be freed without ending or preempting a request.
     std::uint32_t used_tokens{0};
     std::uint32_t total_tokens{0};
--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -19,8 +19,14 @@
 constexpr double full_share = 0.92;
 // Tokens that a running request is expected to add, when its size is not known to this process.
 constexpr double growth_per_run = 350;
-// Prompt tokens in the queue of an engine that weigh as much as its whole memory. The first event waits for all of them.
-constexpr double heavy_prefill_tokens = 16000;
+// Load of one prompt that an engine still has to read. Prompts are read one after the other, so each of them delays the
+// first event of a new request by several hundred milliseconds.
+constexpr double load_per_prompt = 0.35;
+// Prompts that an engine may still have to read when it gets another one. Beyond it, a request is better kept here:
+// from the queue of an engine that stops it could not be moved.
+constexpr double most_prompts_ahead = 1.5;
+// A started engine is slow for a moment.
+constexpr double cold_load = 0.5;
 // Without reports, the slots of an engine that one entry fills.
 constexpr double blind_slot_share = 0.25;
 // A cold target bears a rate; an entry sends its part of it and leaves a reserve for entries that are not counted.
@@ -151,7 +157,18 @@
     auto const total = report.total_tokens > 0 ? report.total_tokens : engine->memory_tokens;
     double const committed =
         report.used_tokens + growth_per_run * report.running + promised_tokens(target, now) + size.expected_memory();
-    return committed <= room_share * total && report.running + report.queued < engine->slots;
+    return committed <= room_share * total && report.running + report.queued < engine->slots &&
+           prompts_ahead(target, now) <= most_prompts_ahead;
+}
+
+double fleet_view::prompts_ahead(target_view const& target, base::time_point now) const {
+    // A prompt that is being read is half done on average.
+    double ahead = target.report->queued + 0.5 * target.report->reading;
+    for (auto const& promise : target.promises) {
+        if (target.reported_at - promise.at < report_lag && now - promise.at < report_lifetime)
+            ahead += 1;
+    }
+    return ahead;
 }
 
 double fleet_view::distance(target_view const& target) const {
@@ -167,13 +184,10 @@
         return static_cast<double>(target.open_requests) / std::max(1U, target.record.slots);
     if (!target.report || now - target.reported_at >= report_lifetime)
         return 0.5 + static_cast<double>(target.open_requests) / std::max(1U, engine->slots);
-    double prefill = 0;
-    for (auto const& promise : target.promises)
-        prefill += promise.prompt;
     auto const& report = *target.report;
     double const total = std::max(1U, report.total_tokens);
     double const committed = report.used_tokens + growth_per_run * report.running + promised_tokens(target, now);
-    return committed / total + prefill / heavy_prefill_tokens + static_cast<double>(report.queued) / engine->slots;
+    return committed / total + load_per_prompt * prompts_ahead(target, now) + (now < target.cold_until ? cold_load : 0);
 }
 
 bool fleet_view::allowed_while_cold(target_view& target, base::time_point now) const {
@@ -223,8 +237,8 @@
     return {placement_kind::none, {}, "no_target"};
 }
 
-placement fleet_view::choose_copy_holder(placement_request const& request, std::string const& source,
-                                         double room_share, base::time_point now) {
+placement fleet_view::choose_copy_holder(placement_request const& request, std::string const& source, double room_share,
+                                         base::time_point now) {
     auto const* source_view = find(source);
     target_view* best = nullptr;
     double best_score = 0;
@@ -233,10 +247,10 @@
             !allowed_while_cold(target, now) || (request.size && !has_room(target, *request.size, room_share, now)))
             continue;
         // A copy to another failure domain takes about ten times as long and keeps other copies off the link.
-        bool const same_domain = source_view != nullptr &&
-                                 target.record.failure_domain == source_view->record.failure_domain;
-        double const score = load(target, request.size, now) + (same_domain ? 0 : copy_distance) +
-                             score_jitter * random_.unit();
+        bool const same_domain =
+            source_view != nullptr && target.record.failure_domain == source_view->record.failure_domain;
+        double const score =
+            load(target, request.size, now) + (same_domain ? 0 : copy_distance) + score_jitter * random_.unit();
         if (best == nullptr || score < best_score) {
             best = &target;
             best_score = score;
@@ -276,6 +290,11 @@
     return found == targets_.end() ? nullptr : &found->second;
 }
 
+bool fleet_view::may_receive(std::string const& id, base::time_point now) const {
+    auto const* target = find(id);
+    return target != nullptr && !target->leaving(now) && !evacuated(target->record.failure_domain);
+}
+
 bool fleet_view::same_domain(std::string const& one, std::string const& other) const {
     auto const* first = find(one);
     auto const* second = find(other);
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -115,6 +115,8 @@
     target_view const* find(std::string const& id) const;
     bool same_domain(std::string const& one, std::string const& other) const;
     std::map<std::string, target_view> const& targets() const { return targets_; }
+    /// Whether a copy of a request's memory at the target may be used.
+    bool may_receive(std::string const& id, base::time_point now) const;
     bool evacuated(std::string const& failure_domain) const { return evacuated_.contains(failure_domain); }
     /// Entries that share the targets, as the agents count them. At least one.
     std::uint32_t entry_count() const { return entry_count_; }
@@ -134,6 +136,8 @@
     bool allowed_while_cold(target_view& target, base::time_point now) const;
     double distance(target_view const& target) const;
     double load(target_view const& target, std::optional<generation_size> const& size, base::time_point now) const;
+    /// Prompts that the engine has to read before that of a new request.
+    double prompts_ahead(target_view const& target, base::time_point now) const;
     double promised_tokens(target_view const& target, base::time_point now) const;
     engine_capacity const* capacity(target_view const& target) const;
 
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -37,7 +37,7 @@
 
 bool similar_load(forwarding::engine_report const& one, forwarding::engine_report const& other) {
     auto const difference = std::abs(static_cast<double>(one.used_tokens) - other.used_tokens);
-    return one.running == other.running && one.queued == other.queued &&
+    return one.running == other.running && one.queued == other.queued && one.reading == other.reading &&
            difference <= told_memory_share * one.total_tokens;
 }
 
@@ -138,10 +138,10 @@
     content.target_address = daemon_.settings().target_address;
     content.started_at = report_->started_at;
     content.leaving = report_->leaving;
-    content.leaves_in_ms =
-        report_->leaves_in ? static_cast<std::uint32_t>(report_->leaves_in->count()) + 1 : 0;
+    content.leaves_in_ms = report_->leaves_in ? static_cast<std::uint32_t>(report_->leaves_in->count()) + 1 : 0;
     content.running = report_->running;
     content.queued = report_->queued;
+    content.reading = report_->reading;
     content.used_tokens = report_->used_tokens;
     content.total_tokens = report_->total_tokens;
     content.entries = static_cast<std::uint32_t>(entries_.size());
@@ -164,9 +164,8 @@
 }
 
 boost::json::object forwarding_agent_role::state() const {
-    boost::json::object dump{{"target", daemon_.settings().target_address},
-                             {"entries", entries_.size()},
-                             {"failed_reports", failures_}};
+    boost::json::object dump{
+        {"target", daemon_.settings().target_address}, {"entries", entries_.size()}, {"failed_reports", failures_}};
     if (report_) {
         dump["leaving"] = report_->leaving;
         dump["running"] = report_->running;
--- a/Libraries/forwarding_entry/agent_controller.cpp
+++ b/Libraries/forwarding_entry/agent_controller.cpp
@@ -20,6 +20,7 @@
         report.leaves_in = base::milliseconds{message.leaves_in_ms - 1};
     report.running = message.running;
     report.queued = message.queued;
+    report.reading = message.reading;
     report.used_tokens = message.used_tokens;
     report.total_tokens = message.total_tokens;
     report.entries = message.entries;
@@ -28,8 +29,7 @@
 
 } // namespace
 
-agent_controller::agent_controller(link::hub& hub, blackboard& board, link_turn_client& turns,
-                                   std::uint16_t agent_port)
+agent_controller::agent_controller(link::hub& hub, blackboard& board, link_turn_client& turns, std::uint16_t agent_port)
     : hub_(hub)
     , board_(board)
     , turns_(turns)
--- a/Libraries/forwarding_entry/forwarder.cpp
+++ b/Libraries/forwarding_entry/forwarder.cpp
@@ -87,13 +87,20 @@
         client->end_after_answer();
     auto prepared = prepare(client, std::move(received));
     if (!prepared) {
-        log::write(log::event_kind::request_refused, {{"reason", base::name_of(prepared.error().kind)},
-                                                      {"detail", prepared.error().message}});
+        log::write(log::event_kind::request_refused,
+                   {{"reason", base::name_of(prepared.error().kind)}, {"detail", prepared.error().message}});
         parts_.metrics.add(metrics::counter_kind::answers_refused);
         std::ignore = co_await client->send(own_answer(prepared.error()));
         co_return;
     }
     auto request = std::move(prepared).value();
+    // A stream lasts longer than the rest of a planned stop.
+    if (!guard && forwarding::is_stream(request.route->kind)) {
+        log::write(log::event_kind::request_refused, {{"request", request.caller.id}, {"reason", "leaving"}});
+        auto const leaving = base::make_error(base::error_kind::leaving, "this process stops", come_back_after);
+        std::ignore = co_await client->send(own_answer(leaving));
+        co_return;
+    }
     if (forwarding::is_stream(request.route->kind)) {
         boost::intrusive_ptr<stream_exchange> const exchange{new stream_exchange{parts_, std::move(request)}};
         co_await exchange->run();
--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -65,8 +65,7 @@
     , connections_(daemon.context().get_executor())
     , turns_(daemon.context(), daemon.hub())
     , agents_(daemon.hub(), board_, turns_, static_cast<std::uint16_t>(daemon.settings().forwarding.agent_port))
-    , parts_{daemon.context(), board_,   placements_,      connections_,
-             turns_,           streams_, daemon.metrics(), random_}
+    , parts_{daemon.context(), board_, placements_, connections_, turns_, streams_, daemon.metrics(), random_}
     , forwarder_(daemon, parts_, [this] { return store_.in_step(base::clock::now()); })
     , operators_(daemon, *this)
     , readiness_(daemon, *this)
@@ -173,8 +172,7 @@
                                               {"failure_share", target.health.failure_share()},
                                               {"open_requests", target.open_requests}});
     }
-    return boost::json::object{
-        {"organisation", organisation}, {"service", service}, {"targets", std::move(targets)}};
+    return boost::json::object{{"organisation", organisation}, {"service", service}, {"targets", std::move(targets)}};
 }
 
 } // namespace cyclamenledge::forwarding_entry
--- a/Libraries/forwarding_entry/placement_controller.cpp
+++ b/Libraries/forwarding_entry/placement_controller.cpp
@@ -21,8 +21,8 @@
 constexpr base::milliseconds come_back_after{500};
 
 std::uint64_t milliseconds_between(base::time_point from, base::time_point to) {
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(
-        0, std::chrono::duration_cast<base::milliseconds>(to - from).count()));
+    return static_cast<std::uint64_t>(
+        std::max<std::int64_t>(0, std::chrono::duration_cast<base::milliseconds>(to - from).count()));
 }
 
 } // namespace
@@ -45,15 +45,14 @@
     if (chosen.kind == forwarding::placement_kind::placed) {
         board_.fleet.begin_request(chosen.target, need.request.size, now);
         auto const* target = board_.fleet.find(chosen.target);
-        log::write(log::event_kind::request_placed,
-                   {{"request", need.request_id},
-                    {"target", chosen.target},
-                    {"reason", chosen.reason},
-                    {"used_tokens", target->report ? target->report->used_tokens : 0},
-                    {"running", target->report ? target->report->running : 0},
-                    {"report_age_ms", milliseconds_between(target->reported_at, now)},
-                    {"own_open", target->open_requests},
-                    {"waited_ms", milliseconds_between(need.arrived, now)}});
+        log::write(log::event_kind::request_placed, {{"request", need.request_id},
+                                                     {"target", chosen.target},
+                                                     {"reason", chosen.reason},
+                                                     {"used_tokens", target->report ? target->report->used_tokens : 0},
+                                                     {"running", target->report ? target->report->running : 0},
+                                                     {"report_age_ms", milliseconds_between(target->reported_at, now)},
+                                                     {"own_open", target->open_requests},
+                                                     {"waited_ms", milliseconds_between(need.arrived, now)}});
     }
     return chosen;
 }
@@ -69,8 +68,7 @@
         }
     }
     auto const number = next_number_++;
-    if (!board_.waiting.add(
-            {number, service, need.priority, need.arrived, need.on_time_until, need.returned}))
+    if (!board_.waiting.add({number, service, need.priority, need.arrived, need.on_time_until, need.returned}))
         co_return refusal(need, "line_full");
     log::write(log::event_kind::request_waits,
                {{"request", need.request_id}, {"service", service}, {"waiting", board_.waiting.size()}});
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -110,16 +110,15 @@
                    {{"request", request_.caller.id}, {"after", target.value()}, {"reason", last.reason}});
     }
     if (last.answer && last.outcome != send_outcome::unknown) {
-        log::write(log::event_kind::request_finished, {{"request", request_.caller.id},
-                                                       {"status", last.answer->result_int()},
-                                                       {"targets", used_.size()}});
+        log::write(log::event_kind::request_finished,
+                   {{"request", request_.caller.id}, {"status", last.answer->result_int()}, {"targets", used_.size()}});
         co_return std::move(*last.answer);
     }
     auto const failure =
         last.outcome == send_outcome::not_run
             ? base::make_error(base::error_kind::overloaded, "no target took the request", base::milliseconds{500})
             : base::make_error(base::clock::now() >= request_.deadline ? base::error_kind::deadline_exceeded
-                                                                        : base::error_kind::link_lost,
+                                                                       : base::error_kind::link_lost,
                                "no answer from the target: " + last.reason);
     if (!caller_left_)
         log::write(log::event_kind::request_failed,
@@ -134,17 +133,17 @@
     auto const address = view->record.address;
     auto const now = base::clock::now();
     auto const until = attempt_limit(now);
-    auto connected = co_await parts_.connections.acquire(
-        address, std::min(connect_timeout, request_.time_left(now)),
-        request_.may_run_again() ? any_idle_time : fresh_connection);
+    auto connected = co_await parts_.connections.acquire(address, std::min(connect_timeout, request_.time_left(now)),
+                                                         request_.may_run_again() ? any_idle_time : fresh_connection);
     if (!connected) {
         parts_.board.fleet.record_outcome(target, forwarding::target_outcome::unreachable, base::clock::now());
         co_return send_result{send_outcome::not_run, connected.error().message, {}};
     }
     // The deadline or the caller may have gone while the connection was opened.
-    if (caller_left_ || base::clock::now() >= request_.deadline) {
+    bool const still_allowed = parts_.board.fleet.may_receive(target, base::clock::now());
+    if (caller_left_ || base::clock::now() >= request_.deadline || !still_allowed) {
         parts_.connections.release(address, connected.value(), {});
-        co_return send_result{send_outcome::not_run, "deadline", {}};
+        co_return send_result{send_outcome::not_run, still_allowed ? "deadline" : "target_leaving", {}};
     }
     current_ = connected.value();
     platform::forwarded_context context;
@@ -200,8 +199,8 @@
         if (!genuine)
             co_return send_result{send_outcome::unknown, "an answer that is not the target's", {}};
         auto const outcome = facts.not_run ? send_outcome::not_run : send_outcome::answered;
-        auto reason = facts.other_target ? std::string{"other_target"}
-                                          : "status " + std::to_string(head.value().result_int());
+        auto reason =
+            facts.other_target ? std::string{"other_target"} : "status " + std::to_string(head.value().result_int());
         co_return send_result{outcome, std::move(reason), target_answer(head.value(), std::move(body).value())};
     }
     connection->close();
--- a/Libraries/forwarding_entry/store_controller.cpp
+++ b/Libraries/forwarding_entry/store_controller.cpp
@@ -22,6 +22,9 @@
 // A watch that is answered at least this often shows that its connection is alive. Configurations have to be in force
 // within about three seconds, so a silent connection must not hide one for longer.
 constexpr base::milliseconds watch_wait{3000};
+// Pause before the next watch of a part, in which its changes gather, so that each wake-up of the store brings more of
+// them. Agents tell of leaving engines within tens of milliseconds; targets without an agent are drained for seconds.
+constexpr std::array<base::milliseconds, 2> gather_times{base::milliseconds{200}, base::milliseconds{1000}};
 // Time beyond the wait after which the store counts as silent.
 constexpr base::milliseconds answer_timeout{1200};
 constexpr base::milliseconds list_timeout{2000};
@@ -69,6 +72,10 @@
         auto const done = co_await read_once(state);
         if (done) {
             on_answer(state);
+            if (state.as_of && state.changed) {
+                timer.expires_after(gather_times.at(static_cast<std::size_t>(state.part)));
+                co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            }
             continue;
         }
         on_failure(state, done.error());
@@ -108,6 +115,7 @@
     state.as_of = changes.as_of;
     auto const now = base::clock::now();
     publications_.set_store_in_doubt(state.last_failure && now - *state.last_failure < doubt_after_failure);
+    state.changed = !changes.items.empty();
     publications_.apply(std::move(changes.items), source_name);
     co_return base::success();
 }
--- a/Libraries/forwarding_entry/store_controller.h
+++ b/Libraries/forwarding_entry/store_controller.h
@@ -35,6 +35,8 @@
         platform::store_client client;
         /// The revision from which to go on. No value: list first.
         std::optional<std::uint64_t> as_of;
+        /// Whether the last watch brought changes.
+        bool changed{false};
         std::uint32_t failures{0};
         std::optional<base::time_point> last_answer;
         std::optional<base::time_point> last_failure;
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -99,8 +99,8 @@
     need.arrived = request_.arrived;
     need.on_time_until = request_.arrived + request_.route->latency_objective - first_event_reserve;
     need.give_up_at =
-        std::min<base::time_point>(request_.deadline, request_.arrived + objectives_until_abandoned *
-                                                                             request_.route->latency_objective) -
+        std::min<base::time_point>(request_.deadline,
+                                   request_.arrived + objectives_until_abandoned * request_.route->latency_objective) -
         abandon_margin;
     need.cancelled = [this] { return caller_left_; };
     auto const target = co_await parts_.placements.place(std::move(need));
@@ -128,7 +128,8 @@
         return;
     auto const chosen = parts_.board.fleet.choose_copy_holder(request_.placement(), started.target, backup_room_share,
                                                               base::clock::now());
-    if (chosen.kind != forwarding::placement_kind::placed || !parts_.board.fleet.same_domain(chosen.target, started.target))
+    if (chosen.kind != forwarding::placement_kind::placed ||
+        !parts_.board.fleet.same_domain(chosen.target, started.target))
         return;
     started.backup_target = chosen.target;
     started.context.backup_address = parts_.board.fleet.find(chosen.target)->record.address;
@@ -184,15 +185,15 @@
 }
 
 asio::awaitable<send_result> stream_exchange::send_and_read(stream_run_pointer driven) {
-    auto connected = co_await parts_.connections.acquire(
-        driven->address, connect_timeout, request_.may_run_again() ? any_idle_time : fresh_connection);
+    auto connected = co_await parts_.connections.acquire(driven->address, connect_timeout,
+                                                         request_.may_run_again() ? any_idle_time : fresh_connection);
     if (!connected) {
-        parts_.board.fleet.record_outcome(driven->target, forwarding::target_outcome::unreachable,
-                                          base::clock::now());
+        parts_.board.fleet.record_outcome(driven->target, forwarding::target_outcome::unreachable, base::clock::now());
         co_return send_result{send_outcome::not_run, connected.error().message, {}};
     }
     auto const left = request_.time_left(base::clock::now());
-    if (driven->cancelled || caller_left_ || left.count() <= 0) {
+    bool const still_allowed = parts_.board.fleet.may_receive(driven->target, base::clock::now());
+    if (driven->cancelled || caller_left_ || left.count() <= 0 || !still_allowed) {
         parts_.connections.release(driven->address, connected.value(), {});
         co_return send_result{send_outcome::not_run, "no longer wanted", {}};
     }
@@ -233,8 +234,7 @@
         if (!body)
             co_return send_result{send_outcome::unknown, body.error().message, {}};
         parts_.connections.release(driven->address, connection, facts.idle_timeout);
-        auto reason =
-            facts.other_target ? std::string{"other_target"} : "status " + std::to_string(head.result_int());
+        auto reason = facts.other_target ? std::string{"other_target"} : "status " + std::to_string(head.result_int());
         co_return send_result{facts.not_run ? send_outcome::not_run : send_outcome::answered, std::move(reason),
                               target_answer(head, std::move(body).value())};
     }
@@ -346,9 +346,8 @@
         return;
     case forwarding::end_verdict::go_on:
         if (!was_active && !ended.cancelled)
-            log::write(log::event_kind::stream_copy_failed, {{"request", request_.caller.id},
-                                                             {"target", ended.target},
-                                                             {"reason", result.reason}});
+            log::write(log::event_kind::stream_copy_failed,
+                       {{"request", request_.caller.id}, {"target", ended.target}, {"reason", result.reason}});
         return;
     case forwarding::end_verdict::recover:
         used_.push_back(ended.target);
@@ -402,8 +401,7 @@
 std::optional<stream_exchange::held_copy> stream_exchange::take_backup(stream_run& run) {
     // A copy that was refused once is not there.
     auto const target = std::exchange(run.backup_target, {});
-    auto const* holder = parts_.board.fleet.find(target);
-    if (holder == nullptr || holder->leaving(base::clock::now()))
+    if (!parts_.board.fleet.may_receive(target, base::clock::now()))
         return std::nullopt;
     return held_copy{target, {run.context.backup_address, request_.caller.id}};
 }
@@ -420,10 +418,8 @@
 }
 
 void stream_exchange::fail(base::error failure, std::string_view reason) {
-    log::write(log::event_kind::request_failed, {{"request", request_.caller.id},
-                                                 {"reason", reason},
-                                                 {"events", events_},
-                                                 {"targets", targets_run_}});
+    log::write(log::event_kind::request_failed,
+               {{"request", request_.caller.id}, {"reason", reason}, {"events", events_}, {"targets", targets_run_}});
     if (!head_sent_ && !relay_.passed_any()) {
         answer_ = own_answer(failure);
         phase_ = phase::answered;
@@ -537,6 +533,9 @@
 asio::awaitable<bool> stream_exchange::go_on_from_copy(held_copy copy) {
     if (phase_ != phase::running || caller_left_)
         co_return true;
+    // The target may have begun to leave while the copy was made.
+    if (!parts_.board.fleet.may_receive(copy.target, base::clock::now()))
+        co_return false;
     auto const started = make_resuming_run(relay_.start_successor(), copy);
     launch(started);
     while (!started->ended && relay_.active() != started->number && !caller_left_) {
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -19,8 +19,7 @@
 
 /// Serves one request whose answer is a stream of events. Runs feed the exchange; when the engine of a run leaves, its
 /// memory is copied and another run goes on from there.
-class stream_exchange : public boost::intrusive_ref_counter<stream_exchange>,
-                        public stream_hook {
+class stream_exchange : public boost::intrusive_ref_counter<stream_exchange>, public stream_hook {
 public:
     stream_exchange(entry_parts& parts, request_context request);
 
--- a/Libraries/forwarding_entry/target_connections.cpp
+++ b/Libraries/forwarding_entry/target_connections.cpp
@@ -17,9 +17,8 @@
 
 } // namespace
 
-http::awaitable_result<http::upstream_pointer> target_connections::acquire(std::string address,
-                                                                           base::milliseconds connect_timeout,
-                                                                           base::milliseconds longest_idle) {
+http::awaitable_result<http::upstream_pointer>
+target_connections::acquire(std::string address, base::milliseconds connect_timeout, base::milliseconds longest_idle) {
     auto const now = base::clock::now();
     auto& kept = idle_[address];
     while (!kept.empty()) {
--- a/Libraries/http/upstream_connection.cpp
+++ b/Libraries/http/upstream_connection.cpp
@@ -5,10 +5,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <array>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-
-#include <array>
 #include <utility>
 
 namespace cyclamenledge::http {
@@ -66,8 +65,8 @@
 }
 
 base::error upstream_connection::read_error(boost::system::error_code code) const {
-    auto const kind = code == boost::beast::error::timeout ? base::error_kind::deadline_exceeded
-                                                            : base::error_kind::io_failed;
+    auto const kind =
+        code == boost::beast::error::timeout ? base::error_kind::deadline_exceeded : base::error_kind::io_failed;
     return base::make_error(kind, "read: " + code.message());
 }
 
--- a/Libraries/log/line_output.cpp
+++ b/Libraries/log/line_output.cpp
@@ -2,7 +2,6 @@
 
 #include <poll.h>
 #include <unistd.h>
-
 #include <utility>
 
 namespace cyclamenledge::log {
--- a/Services/cyclamenledged/main.cpp
+++ b/Services/cyclamenledged/main.cpp
@@ -29,9 +29,9 @@
 }
 
 // In the order of settings::process_role.
-constexpr std::array<role_factory, 4> role_factories{
-    &make_role<entry::entry_role>, &make_role<agent::agent_role>, &make_role<forwarding_entry::forwarding_entry_role>,
-    &make_role<forwarding_agent::forwarding_agent_role>};
+constexpr std::array<role_factory, 4> role_factories{&make_role<entry::entry_role>, &make_role<agent::agent_role>,
+                                                     &make_role<forwarding_entry::forwarding_entry_role>,
+                                                     &make_role<forwarding_agent::forwarding_agent_role>};
 
 void run_until_stopped(process::runtime& daemon, process::role& served) {
     log::write(log::event_kind::process_started,
@@ -53,8 +53,8 @@
 base::result<void> run(std::string const& path) {
     BOOST_OUTCOME_TRY(auto configured, settings::read_settings_file(path));
     BOOST_OUTCOME_TRYV(log::start_logging(configured.log_level, configured.name,
-                                        configured.format == settings::log_format::json ? log::output_format::json
-                                                                                        : log::output_format::text));
+                                          configured.format == settings::log_format::json ? log::output_format::json
+                                                                                          : log::output_format::text));
 
     BOOST_OUTCOME_TRY(auto const daemon, process::runtime::create(std::move(configured)));
     auto const make = role_factories.at(static_cast<std::size_t>(daemon->settings().role));
