Choose where running streams are copied by distance, room and the time left

Change: copies have a rule of their own for room; the destination is in the same failure domain, else the same region, and another region only when the copy can be complete before the engine stops; copies under way are counted.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/fleet_view.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace cyclamenledge::forwarding {
@@ -11,8 +12,9 @@
 // costs two more round trips of a wide-area link and its price for each byte.
 constexpr double domain_distance = 0.05;
 constexpr double region_distance = 0.25;
-// Weighs more than any load, so that copies stay inside a failure domain while an engine there has room.
-constexpr double copy_distance = 100;
+// By copy_span. The steps weigh more than any load, so that copies stay near while an engine there has room: a copy to
+// another failure domain takes twice as long, one to another region about ten times as long.
+constexpr std::array<double, 3> copy_distances{0, 10, 100};
 // Spreads entries with equal views over targets of nearly equal load.
 constexpr double score_jitter = 0.06;
 // Share of its memory that an engine is filled up to, so that outputs longer than expected find room.
@@ -144,8 +146,7 @@
     return sum;
 }
 
-bool fleet_view::has_room(target_view const& target, generation_size const& size, double room_share,
-                          base::time_point now) const {
+bool fleet_view::has_room(target_view const& target, generation_size const& size, base::time_point now) const {
     auto const* engine = capacity(target);
     if (engine == nullptr)
         return true;
@@ -157,15 +158,28 @@
     auto const total = report.total_tokens > 0 ? report.total_tokens : engine->memory_tokens;
     double const committed =
         report.used_tokens + growth_per_run * report.running + promised_tokens(target, now) + size.expected_memory();
-    return committed <= room_share * total && report.running + report.queued < engine->slots &&
+    return committed <= full_share * total && report.running + report.queued < engine->slots &&
            prompts_ahead(target, now) <= most_prompts_ahead;
 }
 
+bool fleet_view::has_room_for_copy(target_view const& target, std::uint32_t tokens, double room_share,
+                                   base::time_point now) const {
+    auto const* engine = capacity(target);
+    // Without a report there is no room to be sure of.
+    if (engine == nullptr || !target.report || now - target.reported_at >= report_lifetime)
+        return false;
+    auto const& report = *target.report;
+    // A request that goes on from a copy is admitted first, so prompts ahead of it do not matter.
+    return report.used_tokens + promised_tokens(target, now) + tokens <= room_share * report.total_tokens &&
+           report.running < engine->slots;
+}
+
 double fleet_view::prompts_ahead(target_view const& target, base::time_point now) const {
     // A prompt that is being read is half done on average.
     double ahead = target.report->queued + 0.5 * target.report->reading;
     for (auto const& promise : target.promises) {
-        if (target.reported_at - promise.at < report_lag && now - promise.at < report_lifetime)
+        bool const unseen = target.reported_at - promise.at < report_lag && now - promise.at < report_lifetime;
+        if (unseen && promise.kind == target_view::promise_kind::prompt)
             ahead += 1;
     }
     return ahead;
@@ -215,7 +229,7 @@
             continue;
         double const score = load(target, request.size, now) + distance(target) + target.health.failure_share() +
                              score_jitter * random_.unit();
-        if (request.size && !has_room(target, *request.size, full_share, now))
+        if (request.size && !has_room(target, *request.size, now))
             crowded.push_back({&target, score});
         else if (target.health.ejected(now))
             ejected.push_back({&target, score});
@@ -237,20 +251,19 @@
     return {placement_kind::none, {}, "no_target"};
 }
 
-placement fleet_view::choose_copy_holder(placement_request const& request, std::string const& source, double room_share,
-                                         base::time_point now) {
-    auto const* source_view = find(source);
+placement fleet_view::choose_copy_holder(copy_request const& wanted, base::time_point now) {
+    auto const* source = find(wanted.source);
     target_view* best = nullptr;
     double best_score = 0;
     for (auto& [id, target] : targets_) {
-        if (id == source || !usable(target, request, now) || target.health.ejected(now) ||
-            !allowed_while_cold(target, now) || (request.size && !has_room(target, *request.size, room_share, now)))
+        if (id == wanted.source || !usable(target, wanted.request, now) || target.health.ejected(now) ||
+            !allowed_while_cold(target, now) || !has_room_for_copy(target, wanted.tokens, wanted.room_share, now))
+            continue;
+        auto const span = source == nullptr ? copy_span::other_region : span_between(*source, target);
+        if (span > wanted.widest)
             continue;
-        // A copy to another failure domain takes about ten times as long and keeps other copies off the link.
-        bool const same_domain =
-            source_view != nullptr && target.record.failure_domain == source_view->record.failure_domain;
-        double const score =
-            load(target, request.size, now) + (same_domain ? 0 : copy_distance) + score_jitter * random_.unit();
+        double const score = load(target, wanted.request.size, now) +
+                             copy_distances.at(static_cast<std::size_t>(span)) + score_jitter * random_.unit();
         if (best == nullptr || score < best_score) {
             best = &target;
             best_score = score;
@@ -261,6 +274,17 @@
     return {placement_kind::placed, best->record.id, "least_loaded"};
 }
 
+copy_span fleet_view::span_between(target_view const& one, target_view const& other) {
+    if (one.record.failure_domain == other.record.failure_domain)
+        return copy_span::same_domain;
+    return one.region == other.region ? copy_span::same_region : copy_span::other_region;
+}
+
+void fleet_view::promise_copy(std::string const& id, std::uint32_t tokens, base::time_point now) {
+    if (auto const found = targets_.find(id); found != targets_.end())
+        found->second.promises.push_back({now, tokens, target_view::promise_kind::copy});
+}
+
 void fleet_view::begin_request(std::string const& id, std::optional<generation_size> const& size,
                                base::time_point now) {
     auto const found = targets_.find(id);
@@ -269,7 +293,7 @@
     auto& target = found->second;
     ++target.open_requests;
     if (size)
-        target.promises.push_back({now, size->expected_memory(), size->prompt});
+        target.promises.push_back({now, size->expected_memory(), target_view::promise_kind::prompt});
     if (now < target.cold_until)
         target.cold_sends.push_back(now);
 }
@@ -295,12 +319,6 @@
     return target != nullptr && !target->leaving(now) && !evacuated(target->record.failure_domain);
 }
 
-bool fleet_view::same_domain(std::string const& one, std::string const& other) const {
-    auto const* first = find(one);
-    auto const* second = find(other);
-    return first != nullptr && second != nullptr && first->record.failure_domain == second->record.failure_domain;
-}
-
 void fleet_view::expire(base::time_point now) {
     std::erase_if(targets_, [&](auto const& entry) {
         auto const& target = entry.second;
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -33,6 +33,20 @@
     bool accept_crowded{false};
 };
 
+/// How far apart two engines are, for copies between them.
+enum class copy_span : std::uint8_t { same_domain, same_region, other_region };
+
+/// The memory of a running request that needs a place at a second engine.
+struct copy_request {
+    placement_request request;
+    std::string source;
+    std::uint32_t tokens{0};
+    /// The destination is filled up to this share of its memory.
+    double room_share{1};
+    /// Destinations further away are not used.
+    copy_span widest{copy_span::other_region};
+};
+
 enum class placement_kind : std::uint8_t {
     placed,
     /// Targets exist, but none has room now.
@@ -62,10 +76,11 @@
     /// Requests of this process that are open at the target.
     std::uint32_t open_requests{0};
     /// Requests that this process placed and the last report cannot show yet.
+    enum class promise_kind : std::uint8_t { prompt, copy };
     struct promise {
         base::time_point at;
         std::uint32_t tokens{0};
-        std::uint32_t prompt{0};
+        promise_kind kind{promise_kind::prompt};
     };
     std::deque<promise> promises;
     /// Requests that this process sent to the cold target in the current second.
@@ -106,14 +121,14 @@
 
     placement choose(placement_request const& request, base::time_point now);
     /// Another engine for the memory of a running request: where it is moved to or backed up.
-    placement choose_copy_holder(placement_request const& request, std::string const& source, double room_share,
-                                 base::time_point now);
+    placement choose_copy_holder(copy_request const& wanted, base::time_point now);
+    /// Memory that this process is about to copy to the target.
+    void promise_copy(std::string const& id, std::uint32_t tokens, base::time_point now);
     void begin_request(std::string const& id, std::optional<generation_size> const& size, base::time_point now);
     void end_request(std::string const& id);
     void record_outcome(std::string const& id, target_outcome outcome, base::time_point now);
 
     target_view const* find(std::string const& id) const;
-    bool same_domain(std::string const& one, std::string const& other) const;
     std::map<std::string, target_view> const& targets() const { return targets_; }
     /// Whether a copy of a request's memory at the target may be used.
     bool may_receive(std::string const& id, base::time_point now) const;
@@ -131,8 +146,10 @@
     };
 
     bool usable(target_view const& target, placement_request const& request, base::time_point now) const;
-    bool has_room(target_view const& target, generation_size const& size, double room_share,
-                  base::time_point now) const;
+    bool has_room(target_view const& target, generation_size const& size, base::time_point now) const;
+    bool has_room_for_copy(target_view const& target, std::uint32_t tokens, double room_share,
+                           base::time_point now) const;
+    static copy_span span_between(target_view const& one, target_view const& other);
     bool allowed_while_cold(target_view& target, base::time_point now) const;
     double distance(target_view const& target) const;
     double load(target_view const& target, std::optional<generation_size> const& size, base::time_point now) const;
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -40,6 +40,11 @@
 constexpr base::milliseconds copy_timeout{2000};
 constexpr base::milliseconds move_retry_pause{40};
 constexpr int most_move_attempts = 40;
+// Tokens that a request makes while its memory is copied.
+constexpr std::uint32_t copy_headroom_tokens = 200;
+// A copy between regions is limited by the windows of its connection, not by the engines' links. While it lasts it
+// keeps other copies off the link.
+constexpr std::uint32_t wide_area_tokens_per_millisecond = 2;
 // Engines are filled with copies up to this share of their memory. A backup leaves room for new requests.
 constexpr double copy_room_share = 0.97;
 constexpr double backup_room_share = 0.55;
@@ -126,11 +131,16 @@
     // A stream that may be resumed is read again elsewhere, which costs less than a second place.
     if (engine_ == nullptr || !engine_->backups || request_.may_run_again())
         return;
-    auto const chosen = parts_.board.fleet.choose_copy_holder(request_.placement(), started.target, backup_room_share,
-                                                              base::clock::now());
-    if (chosen.kind != forwarding::placement_kind::placed ||
-        !parts_.board.fleet.same_domain(chosen.target, started.target))
+    forwarding::copy_request wanted;
+    wanted.request = request_.placement();
+    wanted.source = started.target;
+    wanted.tokens = request_.caller.size ? request_.caller.size->expected_memory() : 0;
+    wanted.room_share = backup_room_share;
+    wanted.widest = forwarding::copy_span::same_domain;
+    auto const chosen = parts_.board.fleet.choose_copy_holder(wanted, base::clock::now());
+    if (chosen.kind != forwarding::placement_kind::placed)
         return;
+    parts_.board.fleet.promise_copy(chosen.target, wanted.tokens, base::clock::now());
     started.backup_target = chosen.target;
     started.context.backup_address = parts_.board.fleet.find(chosen.target)->record.address;
 }
@@ -306,7 +316,7 @@
     log::write(log::event_kind::stream_switched,
                {{"request", request_.caller.id},
                 {"target", successor.target},
-                {"event", event.id.value_or(0)},
+                {"first_event", event.id.value_or(0)},
                 {"last_event", relay_.last_event().value_or(0)},
                 {"gap_ms", events_ == 0 ? 0 : milliseconds_since(last_passed_, now)}});
     ++switches_;
@@ -394,7 +404,7 @@
     log::write(log::event_kind::stream_recovered, {{"request", request_.caller.id},
                                                    {"target", copy->target},
                                                    {"reason", "backup"},
-                                                   {"event", relay_.last_event().value_or(0)}});
+                                                   {"last_event", relay_.last_event().value_or(0)}});
     return true;
 }
 
@@ -477,16 +487,30 @@
     moving_ = false;
 }
 
+forwarding::copy_span stream_exchange::widest_copy(stream_run const& source) const {
+    auto const* view = parts_.board.fleet.find(source.target);
+    if (view == nullptr || !view->report || !view->report->leaves_in)
+        return forwarding::copy_span::same_region;
+    auto const left = *view->report->leaves_in -
+                      std::chrono::duration_cast<base::milliseconds>(base::clock::now() - view->reported_at);
+    auto const needed = base::milliseconds{tokens_held() / wide_area_tokens_per_millisecond};
+    return needed < left ? forwarding::copy_span::other_region : forwarding::copy_span::same_region;
+}
+
 asio::awaitable<bool> stream_exchange::try_move(stream_run_pointer source, std::vector<std::string>& refused) {
-    auto need = request_.placement();
-    need.excluded = refused;
-    need.size = forwarding::generation_size{tokens_held(), request_.caller.size ? 400U : 0U, 0};
-    auto const chosen =
-        parts_.board.fleet.choose_copy_holder(need, source->target, copy_room_share, base::clock::now());
+    forwarding::copy_request wanted;
+    wanted.request = request_.placement();
+    wanted.request.excluded = refused;
+    wanted.source = source->target;
+    wanted.tokens = tokens_held() + copy_headroom_tokens;
+    wanted.room_share = copy_room_share;
+    wanted.widest = widest_copy(*source);
+    auto const chosen = parts_.board.fleet.choose_copy_holder(wanted, base::clock::now());
     if (chosen.kind != forwarding::placement_kind::placed) {
         refused.clear();
         co_return false;
     }
+    parts_.board.fleet.promise_copy(chosen.target, wanted.tokens, base::clock::now());
     auto const destination = parts_.board.fleet.find(chosen.target)->record.address;
     auto const agent = source->address;
     // GCC 12 destroys a braced argument of an awaited call twice, so these are named.
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -67,6 +67,8 @@
 
     // Moving.
     boost::asio::awaitable<void> move_away(self_pointer self);
+    /// Regions are only crossed when the copy can be complete before the engine stops.
+    forwarding::copy_span widest_copy(stream_run const& source) const;
     boost::asio::awaitable<bool> try_move(stream_run_pointer source, std::vector<std::string>& refused);
     boost::asio::awaitable<bool> go_on_from_copy(held_copy copy);
     boost::asio::awaitable<void> pause(base::milliseconds length);
