Tell entries that the store turns away what others know; test the decisions

Cause: an entry that the metadata store refuses had no other source for configurations, evacuations and targets; the decisions had no tests.

--- a/Libraries/forwarding/publication_table.cpp
+++ b/Libraries/forwarding/publication_table.cpp
@@ -45,10 +45,6 @@
     return changes;
 }
 
-void publication_table::forget_removals(std::uint64_t up_to) {
-    std::erase_if(items_, [&](auto const& entry) { return entry.second.removed && entry.second.revision <= up_to; });
-}
-
 publication const* publication_table::find(publication_kind kind, std::string const& name) const {
     auto const found = items_.find({kind, name});
     return found == items_.end() ? nullptr : &found->second;
--- a/Libraries/forwarding/publication_table.h
+++ b/Libraries/forwarding/publication_table.h
@@ -29,8 +29,6 @@
     std::vector<publication> reconcile(publication_listing listing);
     /// Every change after the revision, removals included, in ascending order of revision.
     std::vector<publication> since(std::uint64_t revision) const;
-    /// Forgets removals at or below the revision.
-    void forget_removals(std::uint64_t up_to);
 
     publication const* find(publication_kind kind, std::string const& name) const;
     /// The newest revision seen.
--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -61,6 +61,7 @@
     , random_(base::random_seed())
     , publications_(board_)
     , store_(daemon.context(), std::move(store), board_, publications_)
+    , peers_(daemon.context(), daemon.hub(), board_, publications_, store_)
     , placements_(daemon.context(), board_)
     , connections_(daemon.context().get_executor())
     , turns_(daemon.context(), daemon.hub())
@@ -88,6 +89,7 @@
         BOOST_OUTCOME_TRYV(readiness_server_.listen(*settings.forwarding.readiness_address));
     }
     store_.start();
+    peers_.start(settings.peers, settings.peer_address);
     asio::co_spawn(daemon_.context(), keep_house(), asio::detached);
     return base::success();
 }
--- a/Libraries/forwarding_entry/forwarding_entry_role.h
+++ b/Libraries/forwarding_entry/forwarding_entry_role.h
@@ -5,6 +5,7 @@
 #include "forwarding_entry/entry_parts.h"
 #include "forwarding_entry/forwarder.h"
 #include "forwarding_entry/link_turn_client.h"
+#include "forwarding_entry/peer_controller.h"
 #include "forwarding_entry/placement_controller.h"
 #include "forwarding_entry/publication_controller.h"
 #include "forwarding_entry/readiness_handler.h"
@@ -48,6 +49,7 @@
     base::random_source random_;
     publication_controller publications_;
     store_controller store_;
+    peer_controller peers_;
     placement_controller placements_;
     target_connections connections_;
     link_turn_client turns_;
--- a/Libraries/forwarding_entry/store_controller.cpp
+++ b/Libraries/forwarding_entry/store_controller.cpp
@@ -59,6 +59,11 @@
     });
 }
 
+std::uint64_t store_controller::confirmed_revision() const {
+    auto const& oldest = *std::ranges::min_element(parts_, {}, [](part_state const& state) { return state.as_of; });
+    return oldest.as_of.value_or(0);
+}
+
 std::uint64_t store_controller::calls() const {
     std::uint64_t sum = 0;
     for (auto const& state : parts_)
--- a/Libraries/forwarding_entry/store_controller.h
+++ b/Libraries/forwarding_entry/store_controller.h
@@ -22,6 +22,8 @@
     void start();
     /// Whether every part was read lately. While it is not, peers are asked.
     bool in_step(base::time_point now) const;
+    /// Every change up to this revision is known from the store. Zero before all parts were listed.
+    std::uint64_t confirmed_revision() const;
     std::uint64_t calls() const;
 
 private:
--- a/Libraries/http/upstream_connection.cpp
+++ b/Libraries/http/upstream_connection.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t read_part_bytes = 16UL * 1024;
+constexpr std::size_t read_part_bytes = 4UL * 1024;
 constexpr std::size_t longest_answer_head = 32UL * 1024;
 // Unacknowledged bytes mark the connection as dead after this time.
 constexpr int unacknowledged_limit_ms = 4000;
@@ -94,7 +94,7 @@
     upstream_pointer const self{this};
     if (parser_->is_done())
         co_return std::string{};
-    std::array<char, read_part_bytes> part;
+    std::array<char, read_part_bytes> part{};
     while (true) {
         auto& body = parser_->get().body();
         body.data = part.data();
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -9,5 +9,6 @@
 jobs=${CYCLAMENLEDGE_JOBS:-$(nproc)}
 cmake --preset release >/dev/null
 cmake --build --preset release -j "$jobs"
+./Meta/check_platform_names.sh
 ./Meta/check_style.sh build/release
 python3 Meta/run_tests.py build/release "$@"
--- /dev/null
+++ b/Tests/forwarding/placement_test.cpp
@@ -0,0 +1,278 @@
+#include "base/random.h"
+#include "forwarding/fleet_fixture.h"
+#include "support/table_test.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace cyclamenledge::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace forwarding;
+
+/// An engine that reads one prompt after the other, as far as placement is concerned.
+struct reading_engine {
+    std::deque<base::time_point> reads_end;
+    std::uint32_t prompts(base::time_point now) const {
+        return static_cast<std::uint32_t>(std::ranges::count_if(reads_end, [&](auto end) { return end > now; }));
+    }
+    base::time_point read(base::time_point now) {
+        auto const begin = reads_end.empty() ? now : std::max(now, reads_end.back());
+        reads_end.push_back(begin + 400ms);
+        return reads_end.back();
+    }
+};
+
+/// Plays a burst of prompts over sixteen entries that see eight engines through reports 150 ms apart. Requests without
+/// room are tried again with each report. Returns the share of first events within 1.8 s.
+double share_on_time(std::uint64_t seed, bool with_reports) {
+    base::random_source random{seed};
+    std::vector<fleet_view> entries;
+    std::map<std::string, reading_engine> engines;
+    for (std::uint64_t entry = 0; entry < 16; ++entry)
+        entries.push_back(make_fleet(seed + entry));
+    for (int engine = 0; engine < 8; ++engine) {
+        auto const id = "e" + std::to_string(engine);
+        engines[id];
+        for (auto& entry : entries)
+            entry.update_target(engine_record(id, "north-a"), fleet_start);
+    }
+    struct arrival {
+        base::time_point at;
+        std::size_t entry;
+    };
+    std::deque<arrival> waiting;
+    int served = 0;
+    int on_time = 0;
+    // 16 prompts a second for 8 engines that read 20.
+    for (auto now = fleet_start; now < fleet_start + 20s; now += 10ms) {
+        if ((now - fleet_start) % 150ms == 0ms) {
+            for (auto const& [id, engine] : engines) {
+                auto report = idle_report();
+                auto const prompts = with_reports ? engine.prompts(now) : 0;
+                report.reading = std::min(prompts, 1U);
+                report.queued = prompts - report.reading;
+                report.running = report.reading;
+                for (auto& entry : entries)
+                    entry.update_report(id + ":1", report, now);
+            }
+        }
+        if (now < fleet_start + 15s && random.unit() < 0.16)
+            waiting.push_back({now, random.below(entries.size())});
+        for (auto count = waiting.size(); count > 0; --count) {
+            auto const next = waiting.front();
+            waiting.pop_front();
+            auto request = generation();
+            request.accept_crowded = now - next.at > 1100ms;
+            auto const chosen = entries[next.entry].choose(request, now);
+            if (chosen.kind != placement_kind::placed) {
+                waiting.push_back(next);
+                continue;
+            }
+            entries[next.entry].begin_request(chosen.target, request.size, now);
+            ++served;
+            if (engines[chosen.target].read(now) - next.at <= 1800ms)
+                ++on_time;
+        }
+    }
+    CPPUNIT_ASSERT(served > 150);
+    return static_cast<double>(on_time) / served;
+}
+
+} // namespace
+
+class placement_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(placement_test);
+    CPPUNIT_TEST(first_events_stay_on_time_in_a_burst);
+    CPPUNIT_TEST(chooses_only_targets_that_may_run_the_request);
+    CPPUNIT_TEST(waits_for_room_unless_late);
+    CPPUNIT_TEST(ejection_never_leaves_a_service_without_targets);
+    CPPUNIT_TEST(cold_targets_get_their_rate_from_all_entries_together);
+    CPPUNIT_TEST(copies_stay_near);
+    CPPUNIT_TEST(copies_need_room_only_for_themselves);
+    CPPUNIT_TEST(lapsed_targets_are_used_until_the_doubt_ends);
+    CPPUNIT_TEST(a_new_incarnation_starts_afresh);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Answers a burst of long prompts: without the prompts in the reports, entries pile them onto one engine.
+    void first_events_stay_on_time_in_a_burst() {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            auto const with = share_on_time(seed, true);
+            auto const without = share_on_time(seed, false);
+            CPPUNIT_ASSERT_MESSAGE("on time: " + std::to_string(with), with >= 0.95);
+            CPPUNIT_ASSERT_MESSAGE("without reports: " + std::to_string(without), without < with);
+        }
+    }
+
+    // Guards against work for targets that leave, are evacuated, outside the home regions, or already used.
+    void chooses_only_targets_that_may_run_the_request() {
+        struct row {
+            char const* name;
+            void (*change)(fleet_view&, placement_request&);
+        };
+        static std::vector<std::string> const south{"south"};
+        static std::vector<std::string> const used{"a"};
+        std::vector<row> const table{
+            {"announced as leaving",
+             [](fleet_view& fleet, placement_request&) {
+                 auto record = engine_record("a", "north-a");
+                 record.state = target_state::leaving;
+                 fleet.update_target(record, fleet_start);
+             }},
+            {"reported as leaving",
+             [](fleet_view& fleet, placement_request&) {
+                 auto report = idle_report();
+                 report.leaving = true;
+                 fleet.update_report("a:1", report, fleet_start);
+             }},
+            {"removed", [](fleet_view& fleet, placement_request&) { fleet.remove_target("a", false, fleet_start); }},
+            {"evacuated", [](fleet_view& fleet, placement_request&) { fleet.set_evacuated("north-a", true); }},
+            {"other home of the route", [](fleet_view&, placement_request& request) { request.route_homes = &south; }},
+            {"other home of the organisation",
+             [](fleet_view&, placement_request& request) { request.organisation_homes = &south; }},
+            {"already used", [](fleet_view&, placement_request& request) { request.excluded = used; }},
+            {"other service", [](fleet_view&, placement_request& request) { request.service = "orders"; }},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto fleet = make_fleet();
+            fleet.update_target(engine_record("a", "north-a"), fleet_start);
+            fleet.update_report("a:1", idle_report(), fleet_start);
+            auto request = generation();
+            CPPUNIT_ASSERT(fleet.choose(request, fleet_start).kind == placement_kind::placed);
+            tested.change(fleet, request);
+            CPPUNIT_ASSERT(fleet.choose(request, fleet_start).kind == placement_kind::none);
+        });
+    }
+
+    // Guards against filling an engine until it preempts, and against holding a request that is late anyway.
+    void waits_for_room_unless_late() {
+        auto fleet = make_fleet();
+        fleet.update_target(engine_record("a", "north-a"), fleet_start);
+        auto report = idle_report();
+        report.used_tokens = 30000;
+        report.running = 6;
+        fleet.update_report("a:1", report, fleet_start);
+        auto request = generation();
+        CPPUNIT_ASSERT(fleet.choose(request, fleet_start).kind == placement_kind::wait);
+        request.accept_crowded = true;
+        CPPUNIT_ASSERT(fleet.choose(request, fleet_start).kind == placement_kind::placed);
+    }
+
+    // Guards against an outage that is caused by ejections.
+    void ejection_never_leaves_a_service_without_targets() {
+        auto fleet = make_fleet();
+        for (auto const* id : {"a", "b"}) {
+            fleet.update_target(engine_record(id, "north-a"), fleet_start);
+            fleet.update_report(std::string{id} + ":1", idle_report(), fleet_start);
+            for (std::uint32_t failure = 0; failure < target_health::failures_to_eject; ++failure)
+                fleet.record_outcome(id, target_outcome::failed, fleet_start);
+            CPPUNIT_ASSERT(fleet.find(id)->health.ejected(fleet_start));
+        }
+        CPPUNIT_ASSERT(fleet.choose(generation(), fleet_start).kind == placement_kind::placed);
+    }
+
+    // Guards against a cold target that gets its whole rate from each entry.
+    void cold_targets_get_their_rate_from_all_entries_together() {
+        auto fleet = make_fleet();
+        auto record = engine_record("a", "north-a");
+        record.cold_left = 5s;
+        fleet.update_target(record, fleet_start);
+        fleet.update_report("a:1", idle_report(), fleet_start);
+        int placed = 0;
+        placement_request small;
+        small.service = "writer";
+        while (placed < 100 && fleet.choose(small, fleet_start).kind == placement_kind::placed) {
+            fleet.begin_request("a", std::nullopt, fleet_start);
+            ++placed;
+        }
+        // Four entries share a rate of 40.
+        CPPUNIT_ASSERT(placed >= 5 && placed <= 10);
+    }
+
+    // Answers engines that leave together: a copy that crosses regions keeps the others off the link.
+    void copies_stay_near() {
+        struct row {
+            char const* name;
+            std::vector<std::pair<std::string, std::string>> engines;
+            copy_span widest;
+            std::string expected;
+        };
+        using enum copy_span;
+        std::vector<row> const table{
+            {"own domain first", {{"a", "north-a"}, {"b", "north-b"}, {"c", "south-a"}}, other_region, "a"},
+            {"own region next", {{"b", "north-b"}, {"c", "south-a"}}, other_region, "b"},
+            {"another region", {{"c", "south-a"}}, other_region, "c"},
+            {"no time for another region", {{"c", "south-a"}}, same_region, ""},
+            {"own domain only", {{"b", "north-b"}}, same_domain, ""},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto fleet = make_fleet();
+            fleet.update_target(engine_record("source", "north-a"), fleet_start);
+            for (auto const& [id, domain] : tested.engines) {
+                fleet.update_target(engine_record(id, domain), fleet_start);
+                auto report = idle_report();
+                // Nearness goes before load.
+                report.used_tokens = id == "a" ? 20000 : 0;
+                fleet.update_report(id + ":1", report, fleet_start);
+            }
+            copy_request wanted{generation(), "source", 4000, 0.97, tested.widest};
+            CPPUNIT_ASSERT_EQUAL(tested.expected, fleet.choose_copy_holder(wanted, fleet_start).target);
+        });
+    }
+
+    // Guards against a leaving engine that finds no place because others still read prompts.
+    void copies_need_room_only_for_themselves() {
+        auto fleet = make_fleet();
+        fleet.update_target(engine_record("a", "north-a"), fleet_start);
+        auto report = idle_report();
+        report.used_tokens = 20000;
+        report.running = 6;
+        report.queued = 4;
+        fleet.update_report("a:1", report, fleet_start);
+        copy_request wanted{generation(), "source", 4000, 0.97, copy_span::other_region};
+        CPPUNIT_ASSERT_EQUAL(std::string{"a"}, fleet.choose_copy_holder(wanted, fleet_start).target);
+        // Copies under way take their room at once.
+        fleet.promise_copy("a", 10000, fleet_start);
+        CPPUNIT_ASSERT(fleet.choose_copy_holder(wanted, fleet_start).kind == placement_kind::none);
+    }
+
+    // Guards against dropping live targets whose announcements lapsed during an outage of the metadata store.
+    void lapsed_targets_are_used_until_the_doubt_ends() {
+        auto fleet = make_fleet();
+        fleet.update_target(engine_record("a", "north-a"), fleet_start);
+        fleet.remove_target("a", true, fleet_start);
+        CPPUNIT_ASSERT(fleet.choose(generation(), fleet_start + 1s).kind == placement_kind::placed);
+        auto const later = fleet_start + fleet_view::doubt_lifetime;
+        CPPUNIT_ASSERT(fleet.choose(generation(), later).kind == placement_kind::none);
+        fleet.update_target(engine_record("a", "north-a"), later);
+        CPPUNIT_ASSERT(fleet.choose(generation(), later).kind == placement_kind::placed);
+    }
+
+    // Guards against the state of an earlier incarnation under the same id.
+    void a_new_incarnation_starts_afresh() {
+        auto fleet = make_fleet();
+        fleet.update_target(engine_record("a", "north-a"), fleet_start);
+        auto report = idle_report();
+        report.leaving = true;
+        fleet.update_report("a:1", report, fleet_start);
+        CPPUNIT_ASSERT(fleet.find("a")->leaving(fleet_start));
+        auto reborn = engine_record("a", "north-a");
+        reborn.started_at = 5;
+        fleet.update_target(reborn, fleet_start);
+        CPPUNIT_ASSERT(!fleet.find("a")->leaving(fleet_start));
+        // A late report of the earlier incarnation says nothing about the new one.
+        fleet.update_report("a:1", report, fleet_start);
+        CPPUNIT_ASSERT(!fleet.find("a")->leaving(fleet_start));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
+
+} // namespace cyclamenledge::tests
--- /dev/null
+++ b/Tests/forwarding/stream_test.cpp
@@ -0,0 +1,197 @@
+#include "base/random.h"
+#include "forwarding/event_splitter.h"
+#include "forwarding/link_turns.h"
+#include "forwarding/stream_relay.h"
+#include "support/property.h"
+#include "support/table_test.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace cyclamenledge::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace forwarding;
+
+constexpr base::time_point start{1h};
+
+/// Copies of five streams off an engine that stops after 1.6 s, over a link of 18 tokens a millisecond. Returns how
+/// many were complete. The copy of the longest stream alone takes a third of the time.
+int streams_saved(bool in_turns) {
+    std::array<std::uint32_t, 5> const tokens{12000, 3000, 4000, 6000, 5000};
+    constexpr std::uint32_t link_rate = 18;
+    auto const stops = start + 1600ms;
+    if (!in_turns) {
+        // Copies at the same time share the link, so all of them end with the last one.
+        std::uint32_t sum = 0;
+        for (auto const count : tokens)
+            sum += count;
+        return start + base::milliseconds{sum / link_rate} <= stops ? static_cast<int>(tokens.size()) : 0;
+    }
+    link_turns turns;
+    for (std::size_t index = 0; index < tokens.size(); ++index)
+        turns.add({index, "r" + std::to_string(index), tokens[index], 10s});
+    int saved = 0;
+    auto now = start;
+    while (auto const turn = turns.next(base::milliseconds{1600}, now)) {
+        now += base::milliseconds{turn->tokens / link_rate};
+        if (now <= stops)
+            ++saved;
+        turns.remove(turn->request);
+    }
+    return saved;
+}
+
+} // namespace
+
+class stream_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(stream_test);
+    CPPUNIT_TEST(events_reach_the_caller_once_and_in_order);
+    CPPUNIT_TEST(successors_take_over);
+    CPPUNIT_TEST(ends);
+    CPPUNIT_TEST(events_are_cut_the_same_in_any_parts);
+    CPPUNIT_TEST(turns_save_most_streams_of_a_leaving_engine);
+    CPPUNIT_TEST(turns_survive_lost_entries);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against lost, repeated or reordered events while a stream changes engines at any moment.
+    void events_reach_the_caller_once_and_in_order() {
+        check_property("events once and in order", [](std::uint64_t seed) {
+            base::random_source random{seed};
+            stream_relay relay;
+            auto active = relay.start_run();
+            run_number successor = no_run;
+            std::uint64_t active_next = 1;
+            std::uint64_t successor_next = 0;
+            std::uint64_t passed = 0;
+            auto const deliver = [&](run_number run, std::uint64_t id) {
+                if (relay.on_event(run, id) != event_verdict::pass_on)
+                    return;
+                RC_ASSERT(id == passed + 1);
+                passed = id;
+            };
+            for (int step = 0; step < 300; ++step) {
+                auto const choice = random.below(10);
+                if (choice == 0 && successor == no_run) {
+                    successor = relay.start_successor();
+                    successor_next = relay.last_event().value_or(0) + 1;
+                } else if (choice < 5 && successor != no_run) {
+                    deliver(successor, successor_next++);
+                    if (relay.active() == successor) {
+                        active = std::exchange(successor, no_run);
+                        active_next = successor_next;
+                    }
+                } else {
+                    deliver(active, active_next++);
+                }
+            }
+            RC_ASSERT(passed > 0);
+        });
+    }
+
+    // Both runs make events at the same pace: a successor that waited to be ahead would never take over.
+    void successors_take_over() {
+        stream_relay relay;
+        auto const first = relay.start_run();
+        CPPUNIT_ASSERT(relay.on_event(first, 1) == event_verdict::pass_on);
+        auto const second = relay.start_successor();
+        CPPUNIT_ASSERT(relay.on_event(first, 2) == event_verdict::pass_on);
+        CPPUNIT_ASSERT(relay.on_event(second, 2) == event_verdict::drop);
+        CPPUNIT_ASSERT_EQUAL(second, relay.active());
+        CPPUNIT_ASSERT(relay.on_event(first, 3) == event_verdict::drop);
+        CPPUNIT_ASSERT(relay.on_event(second, 3) == event_verdict::pass_on);
+        CPPUNIT_ASSERT(relay.on_event(second, 5) == event_verdict::gap);
+    }
+
+    // Guards against a stream that is ended, or kept, by the wrong run.
+    void ends() {
+        enum class who : std::uint8_t { active, successor };
+        struct row {
+            char const* name;
+            bool with_successor;
+            who ended;
+            bool complete;
+            end_verdict expected;
+        };
+        using enum end_verdict;
+        std::vector<row> const table{
+            {"complete", false, who::active, true, end_verdict::complete},
+            {"lost", false, who::active, false, recover},
+            {"lost while a successor starts", true, who::active, false, go_on},
+            {"successor refused", true, who::successor, false, go_on},
+            {"complete before the successor has begun", true, who::active, true, end_verdict::complete},
+        };
+        for_each_row(table, [](row const& tested) {
+            stream_relay relay;
+            auto const active = relay.start_run();
+            relay.on_event(active, 1);
+            auto const successor = tested.with_successor ? relay.start_successor() : no_run;
+            auto const ended = tested.ended == who::active ? active : successor;
+            CPPUNIT_ASSERT(relay.on_end(ended, tested.complete) == tested.expected);
+        });
+        stream_relay relay;
+        auto const active = relay.start_run();
+        auto const successor = relay.start_successor();
+        CPPUNIT_ASSERT(relay.on_end(active, false) == go_on);
+        CPPUNIT_ASSERT(relay.on_end(successor, false) == recover);
+    }
+
+    // Guards against parts of events that reach the caller, however the bytes arrive.
+    void events_are_cut_the_same_in_any_parts() {
+        std::string const body =
+            "id: 1\ndata: a\n\nx-version: 2\nid: 2\ndata: b\n\n: comment\n\nid:3\r\ndata: c\r\n\r\nid: 4\nda";
+        check_property("any parts", [&](std::uint64_t seed) {
+            base::random_source random{seed};
+            event_splitter splitter;
+            std::vector<std::optional<std::uint64_t>> ids;
+            std::string joined;
+            for (std::size_t place = 0; place < body.size();) {
+                auto const part = std::min<std::size_t>(1 + random.below(9), body.size() - place);
+                splitter.append(std::string_view{body}.substr(place, part));
+                place += part;
+                while (auto const event = splitter.next()) {
+                    ids.push_back(event->id);
+                    joined += event->bytes;
+                }
+            }
+            RC_ASSERT(ids == (std::vector<std::optional<std::uint64_t>>{1, 2, std::nullopt, 3}));
+            RC_ASSERT(body.starts_with(joined));
+            RC_ASSERT(splitter.inside_event());
+        });
+    }
+
+    // Answers engines that leave with a short notice: copies at the same time would all come too late.
+    void turns_save_most_streams_of_a_leaving_engine() {
+        CPPUNIT_ASSERT_EQUAL(0, streams_saved(false));
+        CPPUNIT_ASSERT_EQUAL(4, streams_saved(true));
+        // Streams that end by themselves leave the link to the others.
+        link_turns turns;
+        turns.add({1, "short", 1000, 300ms});
+        turns.add({1, "long", 5000, 9s});
+        CPPUNIT_ASSERT_EQUAL(std::string{"long"}, turns.next(1500ms, start)->request);
+        CPPUNIT_ASSERT(!turns.next(1500ms, start));
+    }
+
+    // Guards against a link that stays taken by an entry that is gone or silent.
+    void turns_survive_lost_entries() {
+        link_turns turns;
+        turns.add({1, "a", 1000, 9s});
+        turns.add({2, "b", 2000, 9s});
+        CPPUNIT_ASSERT_EQUAL(std::string{"a"}, turns.next(1500ms, start)->request);
+        turns.remove_entry(1);
+        CPPUNIT_ASSERT_EQUAL(std::string{"b"}, turns.next(1500ms, start)->request);
+        turns.add({3, "c", 2000, 9s});
+        CPPUNIT_ASSERT(!turns.next(1500ms, start + 100ms));
+        CPPUNIT_ASSERT_EQUAL(std::string{"c"}, turns.next(1500ms, start + link_turns::longest_turn + 1ms)->request);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stream_test);
+
+} // namespace cyclamenledge::tests
--- /dev/null
+++ b/Tests/forwarding/table_test.cpp
@@ -0,0 +1,203 @@
+#include "support/table_test.h"
+
+#include "base/random.h"
+#include "forwarding/publication_table.h"
+#include "forwarding/retry_allowance.h"
+#include "forwarding/route_set.h"
+#include "forwarding/target_health.h"
+#include "forwarding/waiting_line.h"
+#include "log/line_budget.h"
+#include "support/property.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cyclamenledge::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace forwarding;
+
+constexpr base::time_point start{1h};
+
+publication change(std::string name, std::uint64_t revision, bool removed = false) {
+    return {publication_kind::target, std::move(name), revision, removed, std::to_string(revision)};
+}
+
+} // namespace
+
+class table_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(table_test);
+    CPPUNIT_TEST(publications_never_go_back);
+    CPPUNIT_TEST(listings_remove_what_they_lack);
+    CPPUNIT_TEST(sends_of_all_entries_stay_within_the_bound);
+    CPPUNIT_TEST(routes_by_longest_prefix);
+    CPPUNIT_TEST(waiting_order);
+    CPPUNIT_TEST(health);
+    CPPUNIT_TEST(warnings_keep_their_part_of_the_log);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an older document that arrives late from the store or a peer.
+    void publications_never_go_back() {
+        check_property("newest revision wins in any order", [](std::uint64_t seed) {
+            base::random_source random{seed};
+            publication_table table;
+            std::map<std::string, std::uint64_t> newest;
+            for (int step = 0; step < 60; ++step) {
+                auto const name = std::string(1, static_cast<char>('a' + random.below(4)));
+                auto const revision = 1 + random.below(40);
+                bool const applied = table.apply(change(name, revision, random.below(4) == 0));
+                RC_ASSERT(applied == (revision > newest[name]));
+                newest[name] = std::max(newest[name], revision);
+                RC_ASSERT(table.find(publication_kind::target, name)->revision == newest[name]);
+            }
+            RC_ASSERT(table.since(40).empty());
+        });
+    }
+
+    // Guards against targets that stay after the store has forgotten the history in which they went.
+    void listings_remove_what_they_lack() {
+        publication_table table;
+        table.apply(change("gone", 3));
+        table.apply(change("kept", 4));
+        table.apply(change("newer", 12));
+        table.apply({publication_kind::configuration, "", 2, false, "c"});
+        auto const changes = table.reconcile({{publication_kind::target}, 10, {change("kept", 4), change("new", 8)}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, changes.size());
+        CPPUNIT_ASSERT(table.find(publication_kind::target, "gone")->removed);
+        CPPUNIT_ASSERT(!table.find(publication_kind::target, "newer")->removed);
+        CPPUNIT_ASSERT(!table.find(publication_kind::configuration, "")->removed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.since(8).size());
+    }
+
+    // Answers a retry storm: whatever share of the requests fails at each entry, the sum of the extra sends in any
+    // window stays within the bound.
+    void sends_of_all_entries_stay_within_the_bound() {
+        check_property("bound over all entries", [](std::uint64_t seed) {
+            base::random_source random{seed};
+            retry_bound const bound{0.2, 54, 10s};
+            constexpr std::uint32_t entry_count = 4;
+            std::vector<retry_allowance> entries(entry_count, retry_allowance{bound});
+            std::deque<base::time_point> requests;
+            std::deque<base::time_point> extra;
+            for (auto now = start; now < start + 40s; now += 20ms) {
+                auto& entry = entries[random.below(entry_count)];
+                entry.count_request(now);
+                requests.push_back(now);
+                for (int attempt = 0; attempt < 3; ++attempt) {
+                    if (entry.try_spend(entry_count, now))
+                        extra.push_back(now);
+                }
+                while (now - requests.front() > bound.window)
+                    requests.pop_front();
+                while (!extra.empty() && now - extra.front() > bound.window)
+                    extra.pop_front();
+                RC_ASSERT(static_cast<double>(extra.size()) <=
+                          bound.share * static_cast<double>(requests.size()) + bound.reserve);
+            }
+            RC_ASSERT(!extra.empty());
+        });
+    }
+
+    // Guards against a request that is served by the route of another path or host.
+    void routes_by_longest_prefix() {
+        struct row {
+            char const* name;
+            char const* host;
+            char const* path;
+            char const* expected;
+        };
+        auto const make = [](char const* name, char const* host, char const* prefix) {
+            route made;
+            made.name = name;
+            made.host = host;
+            made.prefix = prefix;
+            return made;
+        };
+        route_set const routes{
+            1,
+            {make("root", "h", "/"), make("a", "h", "/a/"), make("ab", "h", "/a/b/"), make("other", "i", "/x/")},
+            {},
+            {},
+            {}};
+        std::vector<row> const table{
+            {"longest", "h", "/a/b/c", "ab"},       {"shorter", "h", "/a/bc", "a"},
+            {"the prefix itself", "h", "/a/", "a"}, {"without the slash", "h", "/a", "root"},
+            {"other host", "i", "/a/b/", ""},       {"unknown host", "j", "/", ""},
+            {"not a path", "h", "*", ""},
+        };
+        for_each_row(table, [&](row const& tested) {
+            auto const* found = routes.find_route(tested.host, tested.path);
+            CPPUNIT_ASSERT_EQUAL(std::string{tested.expected}, found == nullptr ? std::string{} : found->name);
+        });
+    }
+
+    // Answers more requests than room: those that can be on time go first, then the urgent ones, then callers that
+    // come back.
+    void waiting_order() {
+        waiting_line line;
+        line.add({1, "s", 1, start, start - 1ms, false});
+        line.add({2, "s", 1, start + 1ms, start + 9s, false});
+        line.add({3, "s", 0, start + 2ms, start + 9s, false});
+        line.add({4, "s", 1, start + 3ms, start + 9s, true});
+        line.add({5, "t", 0, start, start + 9s, false});
+        CPPUNIT_ASSERT((line.order("s", start) == std::vector<std::uint64_t>{3, 4, 2, 1}));
+        CPPUNIT_ASSERT(line.has_before("s", 0, start));
+        CPPUNIT_ASSERT(!line.has_before("u", 5, start));
+        line.remove(3);
+        CPPUNIT_ASSERT(!line.has_before("s", 0, start));
+        while (line.size() < waiting_line::most_waiting)
+            CPPUNIT_ASSERT(line.add({9, "s", 1, start, start, false}));
+        CPPUNIT_ASSERT(!line.add({9, "s", 1, start, start, false}));
+    }
+
+    // Guards against ejecting a service that fails some requests by itself, and keeping a target that fails most.
+    void health() {
+        struct row {
+            char const* name;
+            std::string outcomes;
+            bool ejected;
+        };
+        std::vector<row> const table{
+            {"good", "aaaaaaaa", false},
+            {"fails one in four", "aaafaaafaaafaaaf", false},
+            {"four in a row", "aaaffff", true},
+            {"two refused connections", "auu", true},
+            {"most requests", "ffaffaffaffaffa", true},
+        };
+        for_each_row(table, [](row const& tested) {
+            target_health tracked;
+            for (char const outcome : tested.outcomes) {
+                tracked.record(outcome == 'a'   ? target_outcome::answered
+                               : outcome == 'f' ? target_outcome::failed
+                                                : target_outcome::unreachable,
+                               start);
+            }
+            CPPUNIT_ASSERT_EQUAL(tested.ejected, tracked.ejected(start));
+            CPPUNIT_ASSERT(!tracked.ejected(start + target_health::longest_ejection));
+        });
+    }
+
+    // Guards against successes that push the lines about failures out of the log.
+    void warnings_keep_their_part_of_the_log() {
+        log::line_budget budget;
+        int written = 0;
+        for (int line = 0; line < 5000; ++line)
+            written += budget.try_take(log::severity::info, start) ? 1 : 0;
+        CPPUNIT_ASSERT(written < static_cast<int>(log::line_budget::burst));
+        CPPUNIT_ASSERT(budget.try_take(log::severity::warning, start));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5000} - static_cast<std::uint64_t>(written), budget.take_dropped());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, budget.take_dropped());
+        CPPUNIT_ASSERT(budget.try_take(log::severity::info, start + 1s));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(table_test);
+
+} // namespace cyclamenledge::tests
--- /dev/null
+++ b/Tests/platform/decoding_test.cpp
@@ -0,0 +1,206 @@
+#include "platform/operator_documents.h"
+#include "platform/request_headers.h"
+#include "platform/target_documents.h"
+#include "support/table_test.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace cyclamenledge::tests {
+
+namespace {
+
+http::request caller_message() {
+    http::request message{http::beast_http::verb::post, "/a/b?c=d", http::http_version_1_1};
+    message.set("Host", "h");
+    message.set("X-Request-Id", "r1");
+    message.set("X-Token-Count", "1460,80");
+    message.set("X-Deadline-Ms", "39000");
+    message.set("Authorization", "Bearer key");
+    message.body() = "body";
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+class decoding_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(decoding_test);
+    CPPUNIT_TEST(targets);
+    CPPUNIT_TEST(engine_reports);
+    CPPUNIT_TEST(configuration);
+    CPPUNIT_TEST(caller_requests);
+    CPPUNIT_TEST(forwarded_requests);
+    CPPUNIT_TEST(answers);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an announcement of another writer that names a target to use.
+    void targets() {
+        struct row {
+            char const* name;
+            char const* text;
+            bool accepted;
+        };
+        std::vector<row> const table{
+            {"whole",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":24,"state":"ready","coldLeftMs":5,"born":7})",
+             true},
+            {"leaving", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":24,"state":"draining"})", true},
+            {"unknown state", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":24,"state":"odd"})", false},
+            {"no state", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":24})", false},
+            {"number as a service", R"({"service":1,"address":"10.0.0.1:80","zone":"z","slots":24,"state":"ready"})",
+             false},
+            {"host name", R"({"service":"s","address":"host:80","zone":"z","slots":24,"state":"ready"})", false},
+            {"text as slots", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"24","state":"ready"})",
+             false},
+            {"broken start time",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":24,"state":"ready","born":7.5})", false},
+            {"not an object", "[]", false},
+            {"not JSON", "\x01\x02", false},
+            {"empty", "", false},
+        };
+        for_each_row(table, [](row const& tested) {
+            CPPUNIT_ASSERT_EQUAL(tested.accepted, platform::decode_target("id", tested.text).has_value());
+        });
+        auto const record = platform::decode_target("id", table.front().text).value();
+        CPPUNIT_ASSERT(record.state == forwarding::target_state::serving);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, record.started_at);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, static_cast<std::int64_t>(record.cold_left.count()));
+    }
+
+    void engine_reports() {
+        auto const report = platform::decode_engine_report(
+            R"({"queued":2,"active":3,"kvUsed":100,"kvTotal":900,"runs":[["a",1,2,5]],"state":"draining","leaves_ms":345})");
+        CPPUNIT_ASSERT(report.has_value());
+        CPPUNIT_ASSERT(report.value().leaving);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{345}, static_cast<std::int64_t>(report.value().leaves_in->count()));
+        CPPUNIT_ASSERT_EQUAL(2U, report.value().reading);
+        CPPUNIT_ASSERT(!platform::decode_engine_report("{}").has_value());
+    }
+
+    // Guards against a kind of request that is treated as one that may run twice.
+    void configuration() {
+        auto const routes = platform::decode_configuration(R"({"version":7,"routes":[
+            {"name":"a","hostname":"h","prefix":"/a/","routeKind":"streaming","resumable":true,"service":"s"},
+            {"name":"b","hostname":"h","prefix":"/b/","routeKind":"streaming",
+             "trafficSplit":[{"service":"s","weight":90},{"service":"t","weight":10}]},
+            {"name":"c","hostname":"h","prefix":"/c/","routeKind":"idempotent","service":"s","maxAttempts":2},
+            {"name":"d","hostname":"h","prefix":"/d/","routeKind":"new","service":"s"}],
+            "services":[{"name":"s","coldS":1.5,"engine":{"slots":24,"kvCapacity":900,"moves":true,"handleS":5}}],
+            "tenants":[{"name":"o","apiKeys":["k1","k2"]}],"limits":{"headerBytes":999}})");
+        CPPUNIT_ASSERT(routes.has_value());
+        struct row {
+            char const* name;
+            forwarding::request_kind kind;
+            bool may_run_again;
+        };
+        using enum forwarding::request_kind;
+        std::vector<row> const table{{"/a/", resumable_stream, true},
+                                     {"/b/", stream, false},
+                                     {"/c/", idempotent, true},
+                                     {"/d/", non_idempotent, false}};
+        for_each_row(table, [&](row const& tested) {
+            auto const* route = routes.value()->find_route("h", tested.name);
+            CPPUNIT_ASSERT(route != nullptr && route->kind == tested.kind);
+            CPPUNIT_ASSERT_EQUAL(tested.may_run_again, forwarding::may_run_again(route->kind));
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, routes.value()->find_route("h", "/b/")->services.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"o"}, routes.value()->find_organisation("k2")->name);
+        CPPUNIT_ASSERT(routes.value()->find_organisation("k3") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(900U, routes.value()->find_service("s")->engine->memory_tokens);
+        CPPUNIT_ASSERT_EQUAL(999U, routes.value()->limits().header_bytes);
+        CPPUNIT_ASSERT(!platform::decode_configuration("{}").has_value());
+    }
+
+    void caller_requests() {
+        struct row {
+            char const* name;
+            char const* header;
+            char const* value;
+            bool accepted;
+        };
+        std::vector<row> const table{
+            {"as sent", "X-Other", "1", true},         {"no id", "X-Request-Id", "", false},
+            {"deadline", "X-Deadline-Ms", "x", false}, {"negative deadline", "X-Deadline-Ms", "-1", false},
+            {"tokens", "X-Token-Count", "a,b", false}, {"event", "Last-Event-Id", "x", false},
+            {"odd hint", "X-Length-Hint", "x", true},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto message = caller_message();
+            message.set(tested.header, tested.value);
+            CPPUNIT_ASSERT_EQUAL(tested.accepted, platform::decode_caller_request(message).has_value());
+        });
+        auto const decoded = platform::decode_caller_request(caller_message()).value();
+        CPPUNIT_ASSERT_EQUAL(std::string{"key"}, decoded.api_key);
+        CPPUNIT_ASSERT_EQUAL(1460U, decoded.size->prompt);
+    }
+
+    // Guards against headers of a caller that only the system may set, and keys that reach a target.
+    void forwarded_requests() {
+        auto message = caller_message();
+        for (auto const* name : {"X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch", "X-Tenant",
+                                 "X-Request-Priority", "X-Expect-Version", "X-Private"})
+            message.set(name, "forged");
+        message.set("Connection", "keep-alive, X-Private");
+        platform::forwarded_context context;
+        context.time_left = base::milliseconds{1200};
+        context.target = "i-1";
+        context.organisation = "o";
+        auto const sent = platform::encode_forwarded(message, context);
+        struct row {
+            char const* name;
+            char const* value;
+        };
+        std::vector<row> const table{
+            {"X-Hold", ""},         {"X-Pin-Ms", ""},           {"X-Kv-Backup", ""},
+            {"Kv-From", ""},        {"Kv-Fetch", ""},           {"X-Private", ""},
+            {"Authorization", ""},  {"X-Request-Priority", ""}, {"X-Expect-Version", ""},
+            {"Connection", ""},     {"X-Tenant", "o"},          {"X-Expect-Instance", "i-1"},
+            {"X-Request-Id", "r1"}, {"X-Deadline-Ms", "1200"},  {"X-Token-Count", "1460,80"},
+            {"Host", "h"},          {"Content-Length", "4"},
+        };
+        for_each_row(table, [&](row const& tested) {
+            CPPUNIT_ASSERT_EQUAL(std::string{tested.value}, std::string{http::header_value(sent, tested.name)});
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string{"/a/b?c=d"}, std::string{sent.target()});
+        context.resume_from = platform::memory_copy{"10.0.0.1:80", "h1"};
+        context.resume_after = 41;
+        auto const resumed = platform::encode_forwarded(message, context);
+        CPPUNIT_ASSERT_EQUAL(std::string{"10.0.0.1:80/h1"}, std::string{http::header_value(resumed, "Kv-From")});
+        CPPUNIT_ASSERT_EQUAL(std::string{"41"}, std::string{http::header_value(resumed, "Last-Event-Id")});
+    }
+
+    // Guards against a refusal that is taken for a run, and the reverse.
+    void answers() {
+        struct row {
+            char const* name;
+            unsigned status;
+            char const* header;
+            bool not_run;
+            bool other_target;
+        };
+        std::vector<row> const table{{"refused", 503, "X-Not-Executed", true, false},
+                                     {"failed", 503, "X-Other", false, false},
+                                     {"other target", 421, "X-Other", true, true},
+                                     {"timed out", 504, "X-Other", false, false},
+                                     {"success", 200, "X-Other", false, false}};
+        for_each_row(table, [](row const& tested) {
+            http::response_head head;
+            head.result(tested.status);
+            head.set(tested.header, "1");
+            head.set("Keep-Alive", "timeout=5, max=100");
+            auto const answer = platform::decode_answer(head);
+            CPPUNIT_ASSERT_EQUAL(tested.not_run, answer.not_run);
+            CPPUNIT_ASSERT_EQUAL(tested.other_target, answer.other_target);
+            CPPUNIT_ASSERT(answer.idle_timeout == base::seconds{5});
+            CPPUNIT_ASSERT(!answer.stamped);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(decoding_test);
+
+} // namespace cyclamenledge::tests
