--- a/Tests/forwarding/placement_test.cpp
+++ b/Tests/forwarding/placement_test.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(cold_targets_get_their_rate_from_all_entries_together);
     CPPUNIT_TEST(copies_stay_near);
     CPPUNIT_TEST(copies_need_room_only_for_themselves);
+    CPPUNIT_TEST(copies_are_not_used_at_targets_that_take_nothing);
     CPPUNIT_TEST(lapsed_targets_are_used_until_the_doubt_ends);
     CPPUNIT_TEST(a_new_incarnation_starts_afresh);
     CPPUNIT_TEST_SUITE_END();
@@ -243,6 +244,29 @@
         CPPUNIT_ASSERT(fleet.choose_copy_holder(wanted, fleet_start).kind == placement_kind::none);
     }
 
+    // An entry sent a stream to a replica in a failure domain that had been evacuated meanwhile.
+    void copies_are_not_used_at_targets_that_take_nothing() {
+        struct row {
+            char const* name;
+            void (*change)(fleet_view&);
+            bool expected;
+        };
+        std::vector<row> const table{
+            {"unchanged", [](fleet_view&) {}, true},
+            {"evacuated", [](fleet_view& fleet) { fleet.set_evacuated("north-a", true); }, false},
+            {"other failure domain evacuated", [](fleet_view& fleet) { fleet.set_evacuated("north-b", true); }, true},
+            {"leaving", [](fleet_view& fleet) { fleet.mark_leaving("a"); }, false},
+            {"removed", [](fleet_view& fleet) { fleet.remove_target("a", false, fleet_start); }, false},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto fleet = make_fleet();
+            fleet.update_target(engine_record("a", "north-a"), fleet_start);
+            tested.change(fleet);
+            CPPUNIT_ASSERT_EQUAL(tested.expected, fleet.may_receive("a", fleet_start));
+        });
+        CPPUNIT_ASSERT(!make_fleet().may_receive("unknown", fleet_start));
+    }
+
     // Guards against dropping live targets whose announcements lapsed during an outage of the metadata store.
     void lapsed_targets_are_used_until_the_doubt_ends() {
         auto fleet = make_fleet();
