--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -116,11 +116,6 @@
         found->second.record.state = target_state::leaving;
 }
 
-void fleet_view::mark_cold(std::string const& id, base::milliseconds left, base::time_point now) {
-    if (auto const found = targets_.find(id); found != targets_.end())
-        found->second.cold_until = std::max(found->second.cold_until, now + left);
-}
-
 engine_capacity const* fleet_view::capacity(target_view const& target) const {
     auto const* service = routes_ ? routes_->find_service(target.record.service) : nullptr;
     return service != nullptr && service->engine ? &*service->engine : nullptr;
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -117,7 +117,6 @@
     bool reported_leaving(std::string const& address) const;
     /// Something other than a report says that the target is going, such as its own answer.
     void mark_leaving(std::string const& id);
-    void mark_cold(std::string const& id, base::milliseconds left, base::time_point now);
 
     placement choose(placement_request const& request, base::time_point now);
     /// Another engine for the memory of a running request: where it is moved to or backed up.
--- a/Libraries/forwarding/waiting_line.cpp
+++ b/Libraries/forwarding/waiting_line.cpp
@@ -23,7 +23,7 @@
             line.push_back(&item);
     }
     std::ranges::sort(line, {}, [&](waiting_request const* item) {
-        return std::tuple{now > item->on_time_until, item->priority, !item->returned, item->arrived, item->number};
+        return std::tuple{now > item->on_time_until, item->priority, item->arrived, item->number};
     });
     std::vector<std::uint64_t> numbers;
     numbers.reserve(line.size());
--- a/Libraries/forwarding/waiting_line.h
+++ b/Libraries/forwarding/waiting_line.h
@@ -18,12 +18,10 @@
     base::time_point arrived{};
     /// Being placed by this time, the request is still on time.
     base::time_point on_time_until{};
-    /// The caller comes back after a refusal.
-    bool returned{false};
 };
 
 /// The order in which waiting requests are placed: those that can still be on time first, among them the most urgent
-/// ones, callers that come back before new ones, and then by arrival. A late request loses nothing more by waiting.
+/// ones, and then by arrival. A late request loses nothing more by waiting.
 class waiting_line {
 public:
     /// Requests of one entry that wait at the same time. Beyond it, a caller is better served elsewhere.
--- a/Libraries/forwarding_entry/placement_controller.cpp
+++ b/Libraries/forwarding_entry/placement_controller.cpp
@@ -68,7 +68,7 @@
         }
     }
     auto const number = next_number_++;
-    if (!board_.waiting.add({number, service, need.priority, need.arrived, need.on_time_until, need.returned}))
+    if (!board_.waiting.add({number, service, need.priority, need.arrived, need.on_time_until}))
         co_return refusal(need, "line_full");
     log::write(log::event_kind::request_waits,
                {{"request", need.request_id}, {"service", service}, {"waiting", board_.waiting.size()}});
@@ -106,6 +106,16 @@
     on_capacity_change();
 }
 
+void placement_controller::record_outcome(std::string const& target, forwarding::target_outcome outcome) {
+    auto const now = base::clock::now();
+    auto const* view = board_.fleet.find(target);
+    bool const was_ejected = view != nullptr && view->health.ejected(now);
+    board_.fleet.record_outcome(target, outcome, now);
+    if (view != nullptr && view->health.ejected(now) && !was_ejected)
+        log::write(log::event_kind::target_health_changed,
+                   {{"target", target}, {"open_requests", view->open_requests}});
+}
+
 void placement_controller::on_capacity_change() {
     if (waiters_.empty())
         return;
--- a/Libraries/forwarding_entry/placement_controller.h
+++ b/Libraries/forwarding_entry/placement_controller.h
@@ -24,7 +24,6 @@
     /// After this time the request is late even if it is placed at once, so it no longer waits for a good place.
     base::time_point on_time_until{};
     base::time_point give_up_at{};
-    bool returned{false};
     std::function<bool()> cancelled;
 };
 
@@ -39,6 +38,9 @@
     boost::asio::awaitable<base::result<std::string>> place(placement_need need);
     void release(std::string const& target);
 
+    /// How a request on a target ended.
+    void record_outcome(std::string const& target, forwarding::target_outcome outcome);
+
     /// Room may have appeared.
     void on_capacity_change();
 
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -136,7 +136,7 @@
     auto connected = co_await parts_.connections.acquire(address, std::min(connect_timeout, request_.time_left(now)),
                                                          request_.may_run_again() ? any_idle_time : fresh_connection);
     if (!connected) {
-        parts_.board.fleet.record_outcome(target, forwarding::target_outcome::unreachable, base::clock::now());
+        parts_.placements.record_outcome(target, forwarding::target_outcome::unreachable);
         co_return send_result{send_outcome::not_run, connected.error().message, {}};
     }
     // The deadline or the caller may have gone while the connection was opened.
@@ -161,9 +161,8 @@
         ++runs_;
     using enum forwarding::target_outcome;
     if (!caller_left_ && result.outcome != send_outcome::not_run)
-        parts_.board.fleet.record_outcome(
-            target, result.outcome == send_outcome::answered && !result.server_error() ? answered : failed,
-            base::clock::now());
+        parts_.placements.record_outcome(
+            target, result.outcome == send_outcome::answered && !result.server_error() ? answered : failed);
     if (result.reason == "other_target")
         parts_.board.fleet.mark_leaving(target);
     co_return result;
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -186,7 +186,7 @@
     auto const* view = parts_.board.fleet.find(driven->target);
     bool const expected = view != nullptr && view->leaving(base::clock::now());
     if (!driven->cancelled && !caller_left_ && !expected && result.outcome != send_outcome::not_run)
-        parts_.board.fleet.record_outcome(driven->target, good ? answered : failed, base::clock::now());
+        parts_.placements.record_outcome(driven->target, good ? answered : failed);
     if (result.reason == "other_target")
         parts_.board.fleet.mark_leaving(driven->target);
     on_end(*driven, std::move(result));
@@ -198,7 +198,7 @@
     auto connected = co_await parts_.connections.acquire(driven->address, connect_timeout,
                                                          request_.may_run_again() ? any_idle_time : fresh_connection);
     if (!connected) {
-        parts_.board.fleet.record_outcome(driven->target, forwarding::target_outcome::unreachable, base::clock::now());
+        parts_.placements.record_outcome(driven->target, forwarding::target_outcome::unreachable);
         co_return send_result{send_outcome::not_run, connected.error().message, {}};
     }
     auto const left = request_.time_left(base::clock::now());
--- a/Libraries/http/upstream_connection.cpp
+++ b/Libraries/http/upstream_connection.cpp
@@ -39,7 +39,6 @@
     setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_limit_ms,
                sizeof unacknowledged_limit_ms);
     open_ = true;
-    idle_since_ = base::clock::now();
     co_return base::success();
 }
 
@@ -49,7 +48,6 @@
     parser_.reset();
     stream_.expires_after(timeout);
     beast_http::request_serializer<beast_http::string_body> serializer{message};
-    sent_anything_ = true;
     auto [code, bytes] = co_await beast_http::async_write(stream_, serializer, as_tuple);
     sending_ = false;
     if (code) {
--- a/Libraries/http/upstream_connection.h
+++ b/Libraries/http/upstream_connection.h
@@ -39,9 +39,6 @@
     /// Whether the peer has neither closed the connection nor sent bytes that nobody asked for.
     bool quiet();
     void close();
-    bool open() const { return open_; }
-    bool sent_anything() const { return sent_anything_; }
-    base::time_point idle_since() const { return idle_since_; }
     boost::asio::ip::tcp::endpoint const& endpoint() const { return endpoint_; }
 
 private:
@@ -57,8 +54,6 @@
     bool open_{false};
     bool sending_{false};
     bool failed_{false};
-    bool sent_anything_{false};
-    base::time_point idle_since_{};
 };
 
 using upstream_pointer = boost::intrusive_ptr<upstream_connection>;
