State that a request has not run only when no target may have run it

Cause: a request that one target may have run and the next one refused was answered with that refusal, which states that it has not run. Ruled out: giving the first target's failure, which may be lost. Conclusion: the statement is true in both kinds of exchange; a process test with stand-ins is open.

--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -94,9 +94,9 @@
         auto const target = co_await parts_.placements.place(need());
         if (!target) {
             // Every other target was used already: the answer of the last one stands.
-            if (last.answer)
+            if (last.answer && (last.outcome == send_outcome::answered || runs_ == 0))
                 co_return std::move(*last.answer);
-            if (last.outcome == send_outcome::unknown && !used_.empty())
+            if (runs_ > 0)
                 break;
             co_return own_answer(target.error());
         }
@@ -109,13 +109,15 @@
         log::write(log::event_kind::request_sent_again,
                    {{"request", request_.caller.id}, {"after", target.value()}, {"reason", last.reason}});
     }
-    if (last.answer && last.outcome != send_outcome::unknown) {
+    // "Not run" is true only when no earlier target may have run the request.
+    bool const never_ran = last.outcome == send_outcome::not_run && runs_ == 0;
+    if (last.answer && (last.outcome == send_outcome::answered || never_ran)) {
         log::write(log::event_kind::request_finished,
                    {{"request", request_.caller.id}, {"status", last.answer->result_int()}, {"targets", used_.size()}});
         co_return std::move(*last.answer);
     }
     auto const failure =
-        last.outcome == send_outcome::not_run
+        never_ran
             ? base::make_error(base::error_kind::overloaded, "no target took the request", base::milliseconds{500})
             : base::make_error(base::clock::now() >= request_.deadline ? base::error_kind::deadline_exceeded
                                                                        : base::error_kind::link_lost,
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -110,9 +110,14 @@
     need.cancelled = [this] { return caller_left_; };
     auto const target = co_await parts_.placements.place(std::move(need));
     if (!target) {
-        if (!answer_)
+        // "Not run" is true only when no earlier target may have run the request.
+        if (targets_run_ > 0)
+            fail(base::make_error(base::error_kind::generation_lost, "no other target can take the request"),
+                 base::name_of(target.error().kind));
+        else
             answer_ = own_answer(target.error());
-        phase_ = relay_.passed_any() ? phase::failed : phase::answered;
+        if (phase_ == phase::wanting_run)
+            phase_ = phase::answered;
         co_return;
     }
     if (caller_left_) {
