--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -17,20 +17,15 @@
 constexpr std::array<double, 3> copy_distances{0, 10, 100};
 // Spreads entries with equal views over targets of nearly equal load.
 constexpr double score_jitter = 0.06;
-// Share of its memory that an engine is filled up to, so that outputs longer than expected find room.
-constexpr double full_share = 0.92;
-// Tokens that a running request is expected to add, when its size is not known to this process.
-constexpr double growth_per_run = 350;
-// Load of one prompt that an engine still has to read. Prompts are read one after the other, so each of them delays the
-// first event of a new request by several hundred milliseconds.
-constexpr double load_per_prompt = 0.35;
-// Prompts that an engine may still have to read when it gets another one. Beyond it, a request is better kept here:
-// from the queue of an engine that stops it could not be moved.
-constexpr double most_prompts_ahead = 1.5;
+// Load of one second until the engine has read the prompt of a new request. The first event waits for it, so that an
+// engine in another region is preferred to one that is a quarter of a second behind.
+constexpr double load_per_read_second = 1.0;
 // A started engine is slow for a moment.
 constexpr double cold_load = 0.5;
-// Without reports, the slots of an engine that one entry fills.
-constexpr double blind_slot_share = 0.25;
+// An engine that no agent reports may be busy with the requests of other entries.
+constexpr double unreported_load = 1.0;
+// Without reports, the slots of an engine that all entries together fill.
+constexpr double blind_slot_share = 0.5;
 // A cold target bears a rate; an entry sends its part of it and leaves a reserve for entries that are not counted.
 constexpr double cold_share = 0.8;
 
@@ -71,6 +66,8 @@
     }
     target.record = record;
     target.region = region_of(record.failure_domain);
+    if (target.seen_at == base::time_point{})
+        target.seen_at = now;
     target.removed = false;
     if (record.cold_left.count() > 0)
         target.cold_until = now + record.cold_left;
@@ -131,53 +128,46 @@
     return std::ranges::find(request.excluded, target.record.id) == request.excluded.end();
 }
 
-double fleet_view::promised_tokens(target_view const& target, base::time_point now) const {
-    double sum = 0;
-    bool const reported = target.report && now - target.reported_at < report_lifetime;
+bool fleet_view::reported(target_view const& target, base::time_point now) {
+    return target.report && now - target.reported_at < report_lifetime;
+}
+
+bool fleet_view::reported(std::string const& id, base::time_point now) const {
+    auto const* target = find(id);
+    return target != nullptr && reported(*target, now);
+}
+
+engine_room fleet_view::room(target_view const& target, base::time_point now) {
+    engine_promises promises;
     for (auto const& promise : target.promises) {
-        if (!reported || target.reported_at - promise.at < report_lag)
-            sum += promise.tokens;
+        if (target.reported_at - promise.at >= report_lag)
+            continue;
+        promises.memory_tokens += promise.memory_tokens;
+        promises.unread_tokens += promise.unread_tokens;
+        ++promises.requests;
     }
-    return sum;
+    return {*target.report, promises, now - target.reported_at};
 }
 
 bool fleet_view::has_room(target_view const& target, generation_size const& size, base::time_point now) const {
     auto const* engine = capacity(target);
     if (engine == nullptr)
         return true;
-    if (!target.report || now - target.reported_at >= report_lifetime) {
-        // Other entries are not seen either, so each one uses only a part of the slots.
-        return target.open_requests < std::max(1.0, blind_slot_share * engine->slots);
+    if (!reported(target, now)) {
+        // A new engine looks idle to all entries at once until its agent has told what they sent there.
+        if (!target.report && now - target.seen_at < first_report_patience)
+            return false;
+        return target.open_requests < std::max(1.0, blind_slot_share * engine->slots / entry_count_);
     }
-    auto const& report = *target.report;
-    auto const total = report.total_tokens > 0 ? report.total_tokens : engine->memory_tokens;
-    double const committed =
-        report.used_tokens + growth_per_run * report.running + promised_tokens(target, now) + size.expected_memory();
-    return committed <= full_share * total && report.running + report.queued < engine->slots &&
-           prompts_ahead(target, now) <= most_prompts_ahead;
+    return room(target, now).takes_prompt(size.expected_memory(), engine->slots);
 }
 
 bool fleet_view::has_room_for_copy(target_view const& target, std::uint32_t tokens, double room_share,
                                    base::time_point now) const {
     auto const* engine = capacity(target);
     // Without a report there is no room to be sure of.
-    if (engine == nullptr || !target.report || now - target.reported_at >= report_lifetime)
-        return false;
-    auto const& report = *target.report;
-    // A request that goes on from a copy is admitted first, so prompts ahead of it do not matter.
-    return report.used_tokens + promised_tokens(target, now) + tokens <= room_share * report.total_tokens &&
-           report.running < engine->slots;
-}
-
-double fleet_view::prompts_ahead(target_view const& target, base::time_point now) const {
-    // A prompt that is being read is half done on average.
-    double ahead = target.report->queued + 0.5 * target.report->reading;
-    for (auto const& promise : target.promises) {
-        bool const unseen = target.reported_at - promise.at < report_lag && now - promise.at < report_lifetime;
-        if (unseen && promise.kind == target_view::promise_kind::prompt)
-            ahead += 1;
-    }
-    return ahead;
+    return engine != nullptr && reported(target, now) &&
+           room(target, now).takes_copy(tokens, room_share, engine->slots);
 }
 
 double fleet_view::distance(target_view const& target) const {
@@ -191,12 +181,11 @@
     auto const* engine = capacity(target);
     if (engine == nullptr || !size)
         return static_cast<double>(target.open_requests) / std::max(1U, target.record.slots);
-    if (!target.report || now - target.reported_at >= report_lifetime)
-        return 0.5 + static_cast<double>(target.open_requests) / std::max(1U, engine->slots);
-    auto const& report = *target.report;
-    double const total = std::max(1U, report.total_tokens);
-    double const committed = report.used_tokens + growth_per_run * report.running + promised_tokens(target, now);
-    return committed / total + load_per_prompt * prompts_ahead(target, now) + (now < target.cold_until ? cold_load : 0);
+    if (!reported(target, now))
+        return unreported_load + static_cast<double>(target.open_requests) / std::max(1U, engine->slots);
+    auto const seen = room(target, now);
+    auto const read_time = base::to_seconds(seen.read_wait()) + size->prompt / target.report->reading_pace / 1000.0;
+    return seen.committed_share() + load_per_read_second * read_time + (now < target.cold_until ? cold_load : 0);
 }
 
 bool fleet_view::allowed_while_cold(target_view& target, base::time_point now) const {
@@ -275,22 +264,37 @@
     return one.region == other.region ? copy_span::same_region : copy_span::other_region;
 }
 
-void fleet_view::promise_copy(std::string const& id, std::uint32_t tokens, base::time_point now) {
-    if (auto const found = targets_.find(id); found != targets_.end())
-        found->second.promises.push_back({now, tokens, target_view::promise_kind::copy});
+std::uint64_t fleet_view::promise_copy(std::string const& id, std::uint32_t tokens, base::time_point now) {
+    auto const found = targets_.find(id);
+    if (found == targets_.end())
+        return 0;
+    found->second.promises.push_back({next_promise_, now, tokens, 0});
+    return next_promise_++;
 }
 
-void fleet_view::begin_request(std::string const& id, std::optional<generation_size> const& size,
-                               base::time_point now) {
+std::uint64_t fleet_view::begin_request(std::string const& id, std::optional<generation_size> const& size,
+                                        base::time_point now) {
     auto const found = targets_.find(id);
     if (found == targets_.end())
-        return;
+        return 0;
     auto& target = found->second;
     ++target.open_requests;
-    if (size)
-        target.promises.push_back({now, size->expected_memory(), target_view::promise_kind::prompt});
     if (now < target.cold_until)
         target.cold_sends.push_back(now);
+    if (!size)
+        return 0;
+    target.promises.push_back({next_promise_, now, size->expected_memory(), size->prompt});
+    return next_promise_++;
+}
+
+void fleet_view::settle_promise(std::string const& id, std::uint64_t number) {
+    if (auto const found = targets_.find(id); found != targets_.end())
+        std::erase_if(found->second.promises, [&](auto const& promise) { return promise.number == number; });
+}
+
+void fleet_view::forget_report(std::string const& id) {
+    if (auto const found = targets_.find(id); found != targets_.end())
+        found->second.reported_at = {};
 }
 
 void fleet_view::end_request(std::string const& id) {
@@ -309,6 +313,14 @@
     return found == targets_.end() ? nullptr : &found->second;
 }
 
+std::uint32_t fleet_view::slots_of(std::string const& id) const {
+    auto const* target = find(id);
+    if (target == nullptr)
+        return 0;
+    auto const* engine = capacity(*target);
+    return engine != nullptr ? engine->slots : target->record.slots;
+}
+
 bool fleet_view::may_receive(std::string const& id, base::time_point now) const {
     auto const* target = find(id);
     return target != nullptr && !target->leaving(now) && !evacuated(target->record.failure_domain);
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "forwarding/engine_report.h"
+#include "forwarding/engine_room.h"
 #include "forwarding/generation_size.h"
 #include "forwarding/route_set.h"
 #include "forwarding/target_health.h"
@@ -29,7 +30,7 @@
     std::vector<std::string> const* organisation_homes{nullptr};
     /// Ids of targets that this request must not use.
     std::span<std::string const> excluded;
-    /// Also considers engines without room, when waiting for room would make the request late.
+    /// Also considers engines without room, because the request cannot wait any longer.
     bool accept_crowded{false};
 };
 
@@ -70,17 +71,18 @@
     /// The metadata store could not be reached when the removal was seen, so the target may be back soon.
     bool removal_in_doubt{false};
     base::time_point removed_at{};
+    base::time_point seen_at{};
     base::time_point cold_until{};
     std::optional<engine_report> report;
     base::time_point reported_at{};
     /// Requests of this process that are open at the target.
     std::uint32_t open_requests{0};
     /// Requests that this process placed and the last report cannot show yet.
-    enum class promise_kind : std::uint8_t { prompt, copy };
     struct promise {
+        std::uint64_t number{0};
         base::time_point at;
-        std::uint32_t tokens{0};
-        promise_kind kind{promise_kind::prompt};
+        std::uint32_t memory_tokens{0};
+        std::uint32_t unread_tokens{0};
     };
     std::deque<promise> promises;
     /// Requests that this process sent to the cold target in the current second.
@@ -99,6 +101,8 @@
 public:
     /// A report older than this says nothing about the memory of an engine.
     static constexpr base::milliseconds report_lifetime{1500};
+    /// The first report of a new engine is waited for this long. Agents are connected to within 100 ms.
+    static constexpr base::milliseconds first_report_patience{1000};
     /// A request is visible in the reports this long after it was sent.
     static constexpr base::milliseconds report_lag{250};
     /// Targets that vanished while the metadata store was away are back within this time, or gone.
@@ -121,14 +125,24 @@
     placement choose(placement_request const& request, base::time_point now);
     /// Another engine for the memory of a running request: where it is moved to or backed up.
     placement choose_copy_holder(copy_request const& wanted, base::time_point now);
-    /// Memory that this process is about to copy to the target.
-    void promise_copy(std::string const& id, std::uint32_t tokens, base::time_point now);
-    void begin_request(std::string const& id, std::optional<generation_size> const& size, base::time_point now);
+    /// Memory that this process is about to copy to the target. Returns the number of the promise.
+    std::uint64_t promise_copy(std::string const& id, std::uint32_t tokens, base::time_point now);
+    /// A request that goes on from a copy has no size, because its memory is there. Returns the number of the promise.
+    std::uint64_t begin_request(std::string const& id, std::optional<generation_size> const& size,
+                                base::time_point now);
     void end_request(std::string const& id);
+    /// The reports of the agent show what was promised.
+    void settle_promise(std::string const& id, std::uint64_t number);
+    /// The agent no longer answers, so its last report says nothing.
+    void forget_report(std::string const& id);
     void record_outcome(std::string const& id, target_outcome outcome, base::time_point now);
 
     target_view const* find(std::string const& id) const;
     std::map<std::string, target_view> const& targets() const { return targets_; }
+    /// Requests that the target runs at the same time.
+    std::uint32_t slots_of(std::string const& id) const;
+    /// Whether the agent beside the target tells what it knows.
+    bool reported(std::string const& id, base::time_point now) const;
     /// Whether a copy of a request's memory at the target may be used.
     bool may_receive(std::string const& id, base::time_point now) const;
     bool evacuated(std::string const& failure_domain) const { return evacuated_.contains(failure_domain); }
@@ -148,13 +162,12 @@
     bool has_room(target_view const& target, generation_size const& size, base::time_point now) const;
     bool has_room_for_copy(target_view const& target, std::uint32_t tokens, double room_share,
                            base::time_point now) const;
+    static bool reported(target_view const& target, base::time_point now);
+    static engine_room room(target_view const& target, base::time_point now);
     static copy_span span_between(target_view const& one, target_view const& other);
     bool allowed_while_cold(target_view& target, base::time_point now) const;
     double distance(target_view const& target) const;
     double load(target_view const& target, std::optional<generation_size> const& size, base::time_point now) const;
-    /// Prompts that the engine has to read before that of a new request.
-    double prompts_ahead(target_view const& target, base::time_point now) const;
-    double promised_tokens(target_view const& target, base::time_point now) const;
     engine_capacity const* capacity(target_view const& target) const;
 
     std::string failure_domain_;
@@ -164,6 +177,7 @@
     std::map<std::string, target_view> targets_;
     std::set<std::string> evacuated_;
     std::uint32_t entry_count_{1};
+    std::uint64_t next_promise_{1};
 };
 
 } // namespace cyclamenledge::forwarding
--- a/Libraries/forwarding/generation_size.h
+++ b/Libraries/forwarding/generation_size.h
@@ -12,9 +12,9 @@
     /// The caller's estimate of the output. Right at the median, often far off. Zero without one.
     std::uint32_t output_hint{0};
 
-    /// Memory to set aside for the output. The hint is doubled because half of the outputs are longer than it.
+    /// Memory to set aside for the output. The outputs that are longer than their hint are set off by the shorter ones.
     std::uint32_t expected_output() const {
-        return output_hint == 0 ? output_limit : std::min(output_limit, 2 * output_hint);
+        return output_hint == 0 ? output_limit : std::min(output_limit, output_hint);
     }
     std::uint32_t expected_memory() const { return prompt + expected_output(); }
 };
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -1,5 +1,6 @@
 #include "forwarding_agent/forwarding_agent_role.h"
 
+#include "forwarding/engine_room.h"
 #include "log/logger.h"
 #include "network/endpoint.h"
 #include "platform/engine_calls.h"
@@ -30,15 +31,20 @@
 constexpr base::milliseconds repeat_interval{600};
 // Memory changes below this share of the total are not worth a message.
 constexpr double told_memory_share = 0.01;
+// Nor are differences of the time that a new prompt waits below this, a tenth of the time that one takes.
+constexpr base::milliseconds told_wait{40};
 
 bool same_state(forwarding::engine_report const& one, forwarding::engine_report const& other) {
     return one.started_at == other.started_at && one.leaving == other.leaving;
 }
 
-bool similar_load(forwarding::engine_report const& one, forwarding::engine_report const& other) {
-    auto const difference = std::abs(static_cast<double>(one.used_tokens) - other.used_tokens);
-    return one.running == other.running && one.queued == other.queued && one.reading == other.reading &&
-           difference <= told_memory_share * one.total_tokens;
+/// Whether entries that were told one report expect the other one by now.
+bool similar_load(forwarding::engine_report const& told, forwarding::engine_report const& report, base::duration age) {
+    auto const memory = std::abs(static_cast<double>(told.committed_tokens) - report.committed_tokens);
+    auto const wait =
+        forwarding::engine_room{told, {}, age}.read_wait() - forwarding::engine_room{report, {}, {}}.read_wait();
+    return told.running == report.running && told.queued == report.queued &&
+           memory <= told_memory_share * told.total_tokens && std::chrono::abs(wait) <= told_wait;
 }
 
 } // namespace
@@ -62,6 +68,11 @@
             turns_.add({entry.number(), wish.request, wish.tokens, base::milliseconds{wish.remaining_ms}});
             grant_turn();
         });
+    hub.handle<wire::schema::PlaceRequestT>(
+        [this](link::connection& entry, wire::schema::PlaceRequestT const& question) { answer(entry, question); });
+    hub.handle<wire::schema::PlaceEndT>([this](link::connection&, wire::schema::PlaceEndT const& end) {
+        ledger_.end(end.request, base::clock::now());
+    });
     hub.handle<wire::schema::LinkTurnDoneT>([this](link::connection&, wire::schema::LinkTurnDoneT const& done) {
         turns_.remove(done.request);
         grant_turn();
@@ -81,6 +92,7 @@
 void forwarding_agent_role::on_down(link::connection& entry, base::error const&) {
     entries_.erase(entry.number());
     turns_.remove_entry(entry.number());
+    ledger_.remove_entry(entry.number());
     grant_turn();
 }
 
@@ -114,10 +126,14 @@
 }
 
 void forwarding_agent_role::take_report(forwarding::engine_report const& report) {
-    report_ = report;
     auto const now = base::clock::now();
+    // A new incarnation runs nothing of what the one before was granted.
+    if (report_ && report_->started_at != report.started_at)
+        ledger_ = {};
+    report_ = report;
+    ledger_.observe(report, now);
     bool const state_changed = !told_ || !same_state(*told_, report);
-    bool const load_due = told_ && now - told_at_ >= load_interval && !similar_load(*told_, report);
+    bool const load_due = told_ && now - told_at_ >= load_interval && !similar_load(*told_, current(), now - told_at_);
     if (state_changed || load_due || now - told_at_ >= repeat_interval)
         tell_entries();
     if (state_changed && report.leaving)
@@ -125,8 +141,27 @@
                    {{"leaves_in_ms", report.leaves_in ? report.leaves_in->count() : -1}, {"running", report.running}});
 }
 
+void forwarding_agent_role::answer(link::connection& entry, wire::schema::PlaceRequestT const& question) {
+    wire::schema::PlaceAnswerT reply;
+    reply.request = question.request;
+    if (report_)
+        reply.granted = ledger_.grant({entry.number(), question.request, question.unread_tokens, question.memory_tokens,
+                                       question.slots, question.accept_crowded},
+                                      *report_, base::clock::now());
+    // Before the answer, so that the entry counts the request once.
+    if (reply.granted)
+        tell_entries();
+    else if (report_)
+        entry.send(message());
+    entry.send(reply);
+}
+
+forwarding::engine_report forwarding_agent_role::current() const {
+    return ledger_.complete(*report_, base::clock::now());
+}
+
 void forwarding_agent_role::tell_entries() {
-    told_ = report_;
+    told_ = current();
     told_at_ = base::clock::now();
     auto const content = message();
     for (auto const& [number, entry] : entries_)
@@ -134,17 +169,21 @@
 }
 
 wire::schema::EngineStateT forwarding_agent_role::message() const {
+    auto const report = current();
     wire::schema::EngineStateT content;
     content.target_address = daemon_.settings().target_address;
-    content.started_at = report_->started_at;
-    content.leaving = report_->leaving;
-    content.leaves_in_ms = report_->leaves_in ? static_cast<std::uint32_t>(report_->leaves_in->count()) + 1 : 0;
-    content.running = report_->running;
-    content.queued = report_->queued;
-    content.reading = report_->reading;
-    content.used_tokens = report_->used_tokens;
-    content.total_tokens = report_->total_tokens;
+    content.started_at = report.started_at;
+    content.leaving = report.leaving;
+    content.leaves_in_ms = report.leaves_in ? static_cast<std::uint32_t>(report.leaves_in->count()) + 1 : 0;
+    content.running = report.running;
+    content.queued = report.queued;
+    content.reading = report.reading;
+    content.used_tokens = report.used_tokens;
+    content.total_tokens = report.total_tokens;
     content.entries = static_cast<std::uint32_t>(entries_.size());
+    content.unread_tokens = report.unread_tokens;
+    content.reading_pace = static_cast<float>(report.reading_pace);
+    content.committed_tokens = report.committed_tokens;
     return content;
 }
 
@@ -170,6 +209,9 @@
         dump["leaving"] = report_->leaving;
         dump["running"] = report_->running;
         dump["used_tokens"] = report_->used_tokens;
+        dump["committed_tokens"] = current().committed_tokens;
+        dump["unread_tokens"] = current().unread_tokens;
+        dump["granted"] = ledger_.size();
         dump["total_tokens"] = report_->total_tokens;
     }
     return dump;
--- a/Libraries/forwarding_agent/forwarding_agent_role.h
+++ b/Libraries/forwarding_agent/forwarding_agent_role.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/engine_report.h"
+#include "forwarding/grant_ledger.h"
 #include "forwarding/link_turns.h"
 #include "http/server.h"
 #include "http/upstream_connection.h"
@@ -39,7 +40,10 @@
     boost::asio::awaitable<void> read_reports();
     http::awaitable_result<forwarding::engine_report> read_once();
     void take_report(forwarding::engine_report const& report);
+    void answer(link::connection& entry, wire::schema::PlaceRequestT const& question);
     void tell_entries();
+    /// The newest report with what was granted since.
+    forwarding::engine_report current() const;
     wire::schema::EngineStateT message() const;
     void grant_turn();
     void on_up(link::connection& entry) override;
@@ -52,6 +56,7 @@
     std::optional<forwarding::engine_report> told_;
     base::time_point told_at_{};
     std::uint32_t failures_{0};
+    forwarding::grant_ledger ledger_;
     forwarding::link_turns turns_;
     std::map<std::uint64_t, link::connection_pointer> entries_;
     process::operator_handler operators_;
--- a/Libraries/forwarding_entry/agent_controller.cpp
+++ b/Libraries/forwarding_entry/agent_controller.cpp
@@ -24,15 +24,19 @@
     report.used_tokens = message.used_tokens;
     report.total_tokens = message.total_tokens;
     report.entries = message.entries;
+    report.unread_tokens = message.unread_tokens;
+    report.reading_pace = message.reading_pace;
+    report.committed_tokens = message.committed_tokens;
     return report;
 }
 
 } // namespace
 
-agent_controller::agent_controller(link::hub& hub, blackboard& board, link_turn_client& turns, std::uint16_t agent_port)
+agent_controller::agent_controller(link::hub& hub, blackboard& board, agent_directory& directory,
+                                   std::uint16_t agent_port)
     : hub_(hub)
     , board_(board)
-    , turns_(turns)
+    , directory_(directory)
     , agent_port_(agent_port) {
     hub_.handle<wire::schema::EngineStateT>([this](link::connection& source, wire::schema::EngineStateT const& report) {
         take_report(report, source.peer().process);
@@ -46,7 +50,7 @@
 void agent_controller::take_report(wire::schema::EngineStateT const& message, std::string const& process) {
     auto const now = base::clock::now();
     auto const report = decode(message);
-    turns_.set_agent(message.target_address, process);
+    directory_.set(message.target_address, process);
     bool const was_leaving = board_.fleet.reported_leaving(message.target_address);
     board_.fleet.update_report(message.target_address, report, now);
     if (report.leaving && !was_leaving)
--- a/Libraries/forwarding_entry/agent_controller.h
+++ b/Libraries/forwarding_entry/agent_controller.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "forwarding_entry/agent_directory.h"
 #include "forwarding_entry/blackboard.h"
-#include "forwarding_entry/link_turn_client.h"
 #include "link/hub.h"
 
 #include <cstdint>
@@ -14,7 +14,7 @@
 /// Keeps a connection to the agent beside each engine and takes its reports.
 class agent_controller {
 public:
-    agent_controller(link::hub& hub, blackboard& board, link_turn_client& turns, std::uint16_t agent_port);
+    agent_controller(link::hub& hub, blackboard& board, agent_directory& directory, std::uint16_t agent_port);
 
     /// Called after a report that changed what is known.
     void set_observer(std::function<void()> on_change) { on_change_ = std::move(on_change); }
@@ -27,7 +27,7 @@
 
     link::hub& hub_;
     blackboard& board_;
-    link_turn_client& turns_;
+    agent_directory& directory_;
     std::uint16_t agent_port_;
     std::function<void()> on_change_;
     /// Agents by address, with the time at which a target was last known beside them.
--- a/Libraries/forwarding_entry/entry_parts.h
+++ b/Libraries/forwarding_entry/entry_parts.h
@@ -12,6 +12,7 @@
 namespace cyclamenledge::forwarding_entry {
 
 class link_turn_client;
+class place_client;
 
 /// What the exchanges of an entry share.
 struct entry_parts {
@@ -20,6 +21,7 @@
     placement_controller& placements;
     target_connections& connections;
     link_turn_client& turns;
+    place_client& places;
     stream_registry& streams;
     metrics::registry& metrics;
     base::random_source& random;
--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -62,11 +62,13 @@
     , publications_(board_)
     , store_(daemon.context(), std::move(store), board_, publications_)
     , peers_(daemon.context(), daemon.hub(), board_, publications_, store_)
-    , placements_(daemon.context(), board_)
+    , directory_(daemon.hub())
+    , places_(daemon.context(), daemon.hub(), directory_)
+    , placements_(daemon.context(), board_, places_)
     , connections_(daemon.context().get_executor())
-    , turns_(daemon.context(), daemon.hub())
-    , agents_(daemon.hub(), board_, turns_, static_cast<std::uint16_t>(daemon.settings().forwarding.agent_port))
-    , parts_{daemon.context(), board_, placements_, connections_, turns_, streams_, daemon.metrics(), random_}
+    , turns_(daemon.context(), daemon.hub(), directory_)
+    , agents_(daemon.hub(), board_, directory_, static_cast<std::uint16_t>(daemon.settings().forwarding.agent_port))
+    , parts_{daemon.context(), board_, placements_, connections_, turns_, places_, streams_, daemon.metrics(), random_}
     , forwarder_(daemon, parts_, [this] { return store_.in_step(base::clock::now()); })
     , operators_(daemon, *this)
     , readiness_(daemon, *this)
--- a/Libraries/forwarding_entry/forwarding_entry_role.h
+++ b/Libraries/forwarding_entry/forwarding_entry_role.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "forwarding_entry/agent_controller.h"
+#include "forwarding_entry/agent_directory.h"
 #include "forwarding_entry/blackboard.h"
 #include "forwarding_entry/entry_parts.h"
 #include "forwarding_entry/forwarder.h"
 #include "forwarding_entry/link_turn_client.h"
 #include "forwarding_entry/peer_controller.h"
+#include "forwarding_entry/place_client.h"
 #include "forwarding_entry/placement_controller.h"
 #include "forwarding_entry/publication_controller.h"
 #include "forwarding_entry/readiness_handler.h"
@@ -50,6 +52,8 @@
     publication_controller publications_;
     store_controller store_;
     peer_controller peers_;
+    agent_directory directory_;
+    place_client places_;
     placement_controller placements_;
     target_connections connections_;
     link_turn_client turns_;
--- a/Libraries/forwarding_entry/link_turn_client.cpp
+++ b/Libraries/forwarding_entry/link_turn_client.cpp
@@ -16,22 +16,17 @@
 
 } // namespace
 
-link_turn_client::link_turn_client(asio::io_context& context, link::hub& hub)
+link_turn_client::link_turn_client(asio::io_context& context, link::hub& hub, agent_directory& agents)
     : context_(context)
-    , hub_(hub) {
-    hub_.handle<wire::schema::LinkTurnT>([this](link::connection&, wire::schema::LinkTurnT const& turn) {
+    , agents_(agents) {
+    hub.handle<wire::schema::LinkTurnT>([this](link::connection&, wire::schema::LinkTurnT const& turn) {
         if (auto const found = waiting_.find(turn.request); found != waiting_.end())
             found->second->cancel();
     });
 }
 
-link::connection_pointer link_turn_client::find_agent(std::string const& address) const {
-    auto const found = agents_.find(address);
-    return found == agents_.end() ? nullptr : hub_.find(found->second);
-}
-
 asio::awaitable<void> link_turn_client::wait_for_turn(wish wanted) {
-    auto const agent = find_agent(wanted.agent);
+    auto const agent = agents_.find(wanted.engine);
     if (!agent)
         co_return;
     wire::schema::LinkTurnRequestT message;
@@ -45,8 +40,8 @@
     waiting_.erase(wanted.request);
 }
 
-void link_turn_client::end_turn(std::string const& agent, std::string const& request) {
-    auto const connection = find_agent(agent);
+void link_turn_client::end_turn(std::string const& engine, std::string const& request) {
+    auto const connection = agents_.find(engine);
     if (!connection)
         return;
     wire::schema::LinkTurnDoneT message;
--- /dev/null
+++ b/Libraries/forwarding_entry/place_client.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "forwarding_entry/agent_directory.h"
+#include "link/hub.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace cyclamenledge::forwarding_entry {
+
+enum class place_reply : std::uint8_t {
+    granted,
+    refused,
+    /// The agent is gone, frozen or cut off, and perhaps its engine with it.
+    silent,
+};
+
+std::string_view name_of(place_reply reply);
+
+/// Asks the agent beside an engine for a place before a request is sent there.
+class place_client {
+public:
+    place_client(boost::asio::io_context& context, link::hub& hub, agent_directory& agents);
+
+    boost::asio::awaitable<place_reply> ask(std::string engine_address, wire::schema::PlaceRequestT question);
+    /// The request is no longer at the engine, or was never sent there.
+    void end(std::string const& engine_address, std::string const& request);
+
+private:
+    struct question {
+        boost::asio::steady_timer* timer;
+        place_reply reply;
+    };
+
+    boost::asio::io_context& context_;
+    agent_directory& agents_;
+    /// Open questions by request.
+    std::map<std::string, question*> open_;
+};
+
+} // namespace cyclamenledge::forwarding_entry
--- a/Libraries/forwarding_entry/placement_controller.cpp
+++ b/Libraries/forwarding_entry/placement_controller.cpp
@@ -17,6 +17,10 @@
 
 // Waiting requests that are tried when room appears. Behind them, room for one would be room for an earlier one.
 constexpr std::size_t tried_per_change = 16;
+// Agents asked for one request before it waits for news of them. Each refusal brings a newer report.
+constexpr int most_agents_asked = 4;
+// Until a request that waited as long as it can asks again after its agent did not answer.
+constexpr base::milliseconds refused_pause{100};
 // How soon a caller may come back when all targets are busy. A few runs end in this time at any engine.
 constexpr base::milliseconds come_back_after{500};
 
@@ -38,33 +42,69 @@
     return base::make_error(kind, "no target can take the request now: " + std::string{reason}, come_back_after);
 }
 
-std::optional<forwarding::placement> placement_controller::try_place(placement_need& need, base::time_point now) {
-    auto chosen = board_.fleet.choose(need.request, now);
-    if (chosen.kind == forwarding::placement_kind::wait)
+std::optional<placement_controller::choice> placement_controller::choose(placement_need& need, base::time_point now) {
+    need.request.accept_crowded = now >= need.crowd_at;
+    choice made{board_.fleet.choose(need.request, now), 0};
+    if (made.placed.kind == forwarding::placement_kind::wait)
         return std::nullopt;
-    if (chosen.kind == forwarding::placement_kind::placed) {
-        board_.fleet.begin_request(chosen.target, need.request.size, now);
-        auto const* target = board_.fleet.find(chosen.target);
-        log::write(log::event_kind::request_placed, {{"request", need.request_id},
-                                                     {"target", chosen.target},
-                                                     {"reason", chosen.reason},
-                                                     {"used_tokens", target->report ? target->report->used_tokens : 0},
-                                                     {"running", target->report ? target->report->running : 0},
-                                                     {"report_age_ms", milliseconds_between(target->reported_at, now)},
-                                                     {"own_open", target->open_requests},
-                                                     {"waited_ms", milliseconds_between(need.arrived, now)}});
+    if (made.placed.kind == forwarding::placement_kind::placed)
+        made.promise = board_.fleet.begin_request(made.placed.target, need.request.size, now);
+    return made;
+}
+
+asio::awaitable<bool> placement_controller::confirm(placement_need& need, choice chosen) {
+    auto const target = chosen.placed.target;
+    auto const* view = board_.fleet.find(target);
+    auto reply = place_reply::granted;
+    if (need.request.size && view != nullptr && board_.fleet.reported(target, base::clock::now())) {
+        wire::schema::PlaceRequestT question;
+        question.request = need.request_id;
+        question.unread_tokens = need.request.size->prompt;
+        question.memory_tokens = need.request.size->expected_memory();
+        question.slots = board_.fleet.slots_of(target);
+        question.accept_crowded = need.request.accept_crowded;
+        reply = co_await places_.ask(view->record.address, std::move(question));
+        board_.fleet.settle_promise(target, chosen.promise);
+        view = board_.fleet.find(target);
+    }
+    auto const now = base::clock::now();
+    bool const placed = reply == place_reply::granted && view != nullptr;
+    log::write(placed ? log::event_kind::request_placed : log::event_kind::place_refused,
+               {{"request", need.request_id},
+                {"target", target},
+                {"reason", placed ? chosen.placed.reason : name_of(reply)},
+                {"used_tokens", view != nullptr && view->report ? view->report->used_tokens : 0},
+                {"committed_tokens", view != nullptr && view->report ? view->report->committed_tokens : 0},
+                {"unread_tokens", view != nullptr && view->report ? view->report->unread_tokens : 0},
+                {"running", view != nullptr && view->report ? view->report->running : 0},
+                {"report_age_ms", view != nullptr ? milliseconds_between(view->reported_at, now) : 0},
+                {"own_open", view != nullptr ? view->open_requests : 0},
+                {"waited_ms", milliseconds_between(need.arrived, now)}});
+    if (!placed) {
+        board_.fleet.end_request(target);
+        if (reply == place_reply::silent)
+            board_.fleet.forget_report(target);
     }
-    return chosen;
+    co_return placed;
+}
+
+asio::awaitable<std::optional<placement_controller::choice>> placement_controller::place_now(placement_need& need) {
+    for (int asked = 0; asked < most_agents_asked; ++asked) {
+        auto chosen = choose(need, base::clock::now());
+        if (!chosen || chosen->placed.kind == forwarding::placement_kind::none || co_await confirm(need, *chosen))
+            co_return chosen;
+    }
+    co_return std::nullopt;
 }
 
 asio::awaitable<base::result<std::string>> placement_controller::place(placement_need need) {
     auto const now = base::clock::now();
     std::string const service{need.request.service};
     if (!board_.waiting.has_before(service, need.priority, now)) {
-        if (auto const chosen = try_place(need, now)) {
-            if (chosen->kind == forwarding::placement_kind::none)
-                co_return refusal(need, chosen->reason);
-            co_return chosen->target;
+        if (auto const chosen = co_await place_now(need)) {
+            if (chosen->placed.kind == forwarding::placement_kind::none)
+                co_return refusal(need, chosen->placed.reason);
+            co_return chosen->placed.target;
         }
     }
     auto const number = next_number_++;
@@ -83,26 +123,31 @@
     waiters_[number] = &self;
     while (true) {
         auto const now = base::clock::now();
-        if (now >= need.on_time_until && !need.request.accept_crowded) {
-            need.request.accept_crowded = true;
-            self.given = try_place(need, now);
+        if (!self.given && now >= need.crowd_at)
+            self.given = choose(need, now);
+        if (self.given) {
+            auto const chosen = *self.given;
+            if (chosen.placed.kind == forwarding::placement_kind::none)
+                co_return refusal(need, chosen.placed.reason);
+            if (co_await confirm(need, chosen))
+                co_return chosen.placed.target;
+            self.given.reset();
         }
-        if (self.given && self.given->kind == forwarding::placement_kind::placed)
-            co_return self.given->target;
-        if (self.given)
-            co_return refusal(need, self.given->reason);
         if (need.cancelled())
             co_return base::make_error(base::error_kind::cancelled, "the caller left");
-        if (now >= need.give_up_at)
+        if (base::clock::now() >= need.give_up_at)
             co_return refusal(need, "no_room");
-        self.timer.expires_at(need.request.accept_crowded ? need.give_up_at
-                                                          : std::min(need.on_time_until, need.give_up_at));
+        auto const next = base::clock::now() < need.crowd_at ? need.crowd_at : base::clock::now() + refused_pause;
+        self.timer.expires_at(std::min(next, need.give_up_at));
         co_await self.timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
 
-void placement_controller::release(std::string const& target) {
+void placement_controller::release(std::string const& target, std::string const& request) {
     board_.fleet.end_request(target);
+    auto const* view = board_.fleet.find(target);
+    if (view != nullptr && view->report)
+        places_.end(view->record.address, request);
     on_capacity_change();
 }
 
@@ -130,7 +175,7 @@
             if (found == waiters_.end() || found->second->given || ++tried > tried_per_change)
                 continue;
             if (!found->second->need->cancelled())
-                found->second->given = try_place(*found->second->need, now);
+                found->second->given = choose(*found->second->need, now);
             if (found->second->given || found->second->need->cancelled())
                 found->second->timer.cancel();
         }
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -57,6 +57,7 @@
     wanted.priority = request_.priority();
     wanted.arrived = request_.arrived;
     wanted.on_time_until = request_.arrived + request_.route->latency_objective - run_time_reserve;
+    wanted.crowd_at = wanted.on_time_until;
     wanted.give_up_at = request_.deadline - run_time_reserve;
     wanted.cancelled = [this] { return caller_left_; };
     return wanted;
@@ -101,7 +102,7 @@
             co_return own_answer(target.error());
         }
         last = co_await send_to(target.value());
-        parts_.placements.release(target.value());
+        parts_.placements.release(target.value(), request_.caller.id);
         used_.push_back(target.value());
         bool const good = last.outcome == send_outcome::answered && !last.server_error();
         if (good || !may_send_again(last))
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding_entry/answers.h"
 #include "forwarding_entry/link_turn_client.h"
+#include "forwarding_entry/place_client.h"
 #include "log/logger.h"
 #include "platform/engine_calls.h"
 
@@ -28,6 +29,8 @@
 constexpr int most_foreign_answers = 3;
 // From its place in an idle engine to the first event of a long prompt.
 constexpr base::milliseconds first_event_reserve{700};
+// A request that found no room at all this long before it is given up goes to an engine that is full.
+constexpr base::milliseconds crowded_reserve{1200};
 // Callers abandon a stream without an event after a multiple of its objective. A place after that is of no use.
 constexpr int objectives_until_abandoned = 4;
 constexpr base::milliseconds abandon_margin{700};
@@ -107,6 +110,7 @@
         std::min<base::time_point>(request_.deadline,
                                    request_.arrived + objectives_until_abandoned * request_.route->latency_objective) -
         abandon_margin;
+    need.crowd_at = need.give_up_at - crowded_reserve;
     need.cancelled = [this] { return caller_left_; };
     auto const target = co_await parts_.placements.place(std::move(need));
     if (!target) {
@@ -121,7 +125,7 @@
         co_return;
     }
     if (caller_left_) {
-        parts_.placements.release(target.value());
+        parts_.placements.release(target.value(), request_.caller.id);
         co_return;
     }
     auto const started = make_run(relay_.start_run(), target.value());
@@ -154,13 +158,10 @@
     stream_run_pointer created{new stream_run};
     created->number = number;
     created->target = target;
-    if (auto const* view = parts_.board.fleet.find(target)) {
+    if (auto const* view = parts_.board.fleet.find(target))
         created->address = view->record.address;
-        created->started_at = view->record.started_at;
-    }
     created->context.target = target;
     created->context.organisation = request_.organisation == nullptr ? "" : request_.organisation->name;
-    created->last_event = base::clock::now();
     return created;
 }
 
@@ -182,7 +183,7 @@
     driven->ended = true;
     driven->connection.reset();
     std::erase(runs_, driven);
-    parts_.placements.release(driven->target);
+    parts_.placements.release(driven->target, request_.caller.id);
     if (result.outcome != send_outcome::not_run)
         ++targets_run_;
     bool const good = result.outcome == send_outcome::answered && !result.server_error();
@@ -215,6 +216,7 @@
     driven->connection = connected.value();
     driven->context.time_left = left;
     driven->sent = true;
+    driven->sent_at = base::clock::now();
     auto const message = platform::encode_forwarded(request_.received, driven->context);
     if (auto const sent = co_await driven->connection->send(message, left); !sent)
         co_return send_result{send_outcome::unknown, sent.error().message, {}};
@@ -294,7 +296,6 @@
 bool stream_exchange::pass_events(stream_run& driven) {
     auto const now = base::clock::now();
     while (auto const event = driven.splitter.next()) {
-        driven.last_event = now;
         driven.got_event = true;
         auto const before = relay_.active();
         auto const verdict = relay_.on_event(driven.number, event->id);
@@ -304,6 +305,11 @@
             on_takeover(driven, *event);
         if (verdict == forwarding::event_verdict::drop)
             continue;
+        if (events_ == 0)
+            log::write(log::event_kind::stream_started, {{"request", request_.caller.id},
+                                                         {"target", driven.target},
+                                                         {"after_ms", milliseconds_since(request_.arrived, now)},
+                                                         {"engine_ms", milliseconds_since(driven.sent_at, now)}});
         if (events_ > 0)
             longest_gap_ = std::max(longest_gap_, std::chrono::duration_cast<base::milliseconds>(now - last_passed_));
         last_passed_ = now;
@@ -423,7 +429,7 @@
 
 stream_run_pointer stream_exchange::make_resuming_run(forwarding::run_number number, held_copy const& copy) {
     auto const now = base::clock::now();
-    parts_.board.fleet.begin_request(copy.target, request_.caller.size, now);
+    parts_.board.fleet.begin_request(copy.target, std::nullopt, now);
     parts_.board.allowance(request_.service).spend(now);
     auto started = make_run(number, copy.target);
     started->context.resume_from = copy.memory;
@@ -515,16 +521,28 @@
         refused.clear();
         co_return false;
     }
-    parts_.board.fleet.promise_copy(chosen.target, wanted.tokens, base::clock::now());
+    auto const promise = parts_.board.fleet.promise_copy(chosen.target, wanted.tokens, base::clock::now());
     auto const destination = parts_.board.fleet.find(chosen.target)->record.address;
-    auto const agent = source->address;
+    auto const engine = source->address;
     // GCC 12 destroys a braced argument of an awaited call twice, so these are named.
-    link_turn_client::wish wish{agent, request_.caller.id, tokens_held(), expected_remaining()};
+    link_turn_client::wish wish{engine, request_.caller.id, tokens_held(), expected_remaining()};
     co_await parts_.turns.wait_for_turn(std::move(wish));
     if (source->ended || phase_ != phase::running || caller_left_) {
-        parts_.turns.end_turn(agent, request_.caller.id);
+        parts_.turns.end_turn(engine, request_.caller.id);
         co_return true;
     }
+    wire::schema::PlaceRequestT question;
+    question.request = request_.caller.id;
+    question.memory_tokens = wanted.tokens;
+    question.slots = parts_.board.fleet.slots_of(chosen.target);
+    auto const reply = co_await parts_.places.ask(destination, std::move(question));
+    if (reply != place_reply::silent)
+        parts_.board.fleet.settle_promise(chosen.target, promise);
+    if (reply == place_reply::refused) {
+        parts_.turns.end_turn(engine, request_.caller.id);
+        refused.push_back(chosen.target);
+        co_return false;
+    }
     auto const began = base::clock::now();
     auto const connected = co_await parts_.connections.acquire(source->address, connect_timeout, any_idle_time);
     platform::copy_result copied;
@@ -533,7 +551,7 @@
         copied = co_await platform::copy_memory(*connected.value(), std::move(order), copy_timeout);
         parts_.connections.release(source->address, connected.value(), {});
     }
-    parts_.turns.end_turn(agent, request_.caller.id);
+    parts_.turns.end_turn(engine, request_.caller.id);
     auto const now = base::clock::now();
     if (copied.outcome != platform::copy_outcome::copied) {
         if (copied.outcome == platform::copy_outcome::no_room)
--- a/Libraries/forwarding_entry/stream_run.h
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -17,15 +17,14 @@
     forwarding::run_number number{forwarding::no_run};
     std::string target;
     std::string address;
-    std::int64_t started_at{0};
     platform::forwarded_context context;
     /// Where the memory of the run is replicated. Empty without a backup, and once that was tried.
     std::string backup_target;
     /// Null until the connection stands and after the run has ended.
     http::upstream_pointer connection;
     forwarding::event_splitter splitter;
-    base::time_point last_event{};
     bool sent{false};
+    base::time_point sent_at{};
     bool got_event{false};
     /// Cut off by this process.
     bool cancelled{false};
--- a/Libraries/log/event_kind.cpp
+++ b/Libraries/log/event_kind.cpp
@@ -67,6 +67,8 @@
     {stream_copy_failed, 820, warning, "stream_copy_failed"},
     {stream_recovered, 821, warning, "stream_recovered"},
     {lines_dropped, 822, warning, "lines_dropped"},
+    {place_refused, 823, info, "place_refused"},
+    {stream_started, 824, info, "stream_started"},
 }};
 
 } // namespace
--- a/Libraries/log/event_kind.h
+++ b/Libraries/log/event_kind.h
@@ -68,8 +68,10 @@
     stream_copy_failed,
     stream_recovered,
     lines_dropped,
+    place_refused,
+    stream_started,
 };
-inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::lines_dropped) + 1;
+inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::stream_started) + 1;
 
 /// Number, level and name of one kind of event.
 struct event_definition {
--- a/Libraries/wire/message_kind.cpp
+++ b/Libraries/wire/message_kind.cpp
@@ -44,6 +44,9 @@
     {"link_turn_done", control, verify<schema::LinkTurnDone>},
     {"publication_request", control, verify<schema::PublicationRequest>},
     {"publications", control, verify<schema::Publications>},
+    {"place_request", control, verify<schema::PlaceRequest>},
+    {"place_answer", control, verify<schema::PlaceAnswer>},
+    {"place_end", control, verify<schema::PlaceEnd>},
 }};
 
 } // namespace
--- a/Libraries/wire/message_kind.h
+++ b/Libraries/wire/message_kind.h
@@ -41,8 +41,11 @@
     link_turn_done,
     publication_request,
     publications,
+    place_request,
+    place_answer,
+    place_end,
 };
-inline constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::publications) + 1;
+inline constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::place_end) + 1;
 
 /// Whether a frame counts towards the control cost or carries callers' data.
 enum class traffic_kind : std::uint8_t { control, data };
@@ -97,6 +100,9 @@
 CYCLAMENLEDGE_MESSAGE(link_turn_done, LinkTurnDone)
 CYCLAMENLEDGE_MESSAGE(publication_request, PublicationRequest)
 CYCLAMENLEDGE_MESSAGE(publications, Publications)
+CYCLAMENLEDGE_MESSAGE(place_request, PlaceRequest)
+CYCLAMENLEDGE_MESSAGE(place_answer, PlaceAnswer)
+CYCLAMENLEDGE_MESSAGE(place_end, PlaceEnd)
 
 #undef CYCLAMENLEDGE_MESSAGE
 
--- /dev/null
+++ b/Tests/forwarding/grant_ledger_test.cpp
@@ -0,0 +1,152 @@
+#include "forwarding/grant_ledger.h"
+#include "support/table_test.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace cyclamenledge::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace forwarding;
+
+constexpr base::time_point ledger_start{std::chrono::hours{1}};
+
+engine_report idle_engine() {
+    engine_report report;
+    report.total_tokens = 26000;
+    return report;
+}
+
+place_request prompt(std::string const& request, std::uint32_t tokens = 3000, std::uint64_t entry = 1) {
+    return {entry, request, tokens, tokens + 700, 24, false};
+}
+
+} // namespace
+
+class grant_ledger_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(grant_ledger_test);
+    CPPUNIT_TEST(entries_do_not_meet_at_an_idle_engine);
+    CPPUNIT_TEST(memory_is_promised_once);
+    CPPUNIT_TEST(places_are_given_back);
+    CPPUNIT_TEST(copies_do_not_wait_for_prompts);
+    CPPUNIT_TEST(learns_how_fast_the_engine_reads);
+    CPPUNIT_TEST(counts_prompts_without_a_grant);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Twenty entries that all saw an idle engine ask for it at once.
+    void entries_do_not_meet_at_an_idle_engine() {
+        grant_ledger ledger;
+        int granted = 0;
+        for (int entry = 0; entry < 20; ++entry)
+            granted += ledger.grant(prompt(std::to_string(entry)), idle_engine(), ledger_start) ? 1 : 0;
+        // Two prompts of 430 ms: the second waits for one, a third would wait longer than allowed.
+        CPPUNIT_ASSERT_EQUAL(2, granted);
+        CPPUNIT_ASSERT(!ledger.grant(prompt("later"), idle_engine(), ledger_start + 300ms));
+        CPPUNIT_ASSERT(ledger.grant(prompt("later"), idle_engine(), ledger_start + 420ms));
+        auto crowded = prompt("crowded");
+        crowded.accept_crowded = true;
+        CPPUNIT_ASSERT(ledger.grant(crowded, idle_engine(), ledger_start + 420ms));
+    }
+
+    // A prompt is counted while it is unread and as a running request afterwards, never as both.
+    void memory_is_promised_once() {
+        grant_ledger ledger;
+        auto report = idle_engine();
+        CPPUNIT_ASSERT(ledger.grant(prompt("a"), report, ledger_start));
+        auto const promised = ledger.complete(report, ledger_start).committed_tokens;
+        CPPUNIT_ASSERT(promised >= 3000 && promised <= 3700);
+        report.running = 1;
+        report.reading = 1;
+        report.used_tokens = 3000;
+        ledger.observe(report, ledger_start + 200ms);
+        CPPUNIT_ASSERT_EQUAL(promised, ledger.complete(report, ledger_start + 200ms).committed_tokens);
+        report.reading = 0;
+        report.used_tokens = 3010;
+        report.generating = {{"a", 3010}};
+        ledger.observe(report, ledger_start + 450ms);
+        auto const running = ledger.complete(report, ledger_start + 450ms);
+        CPPUNIT_ASSERT_EQUAL(0U, running.unread_tokens);
+        CPPUNIT_ASSERT(running.committed_tokens >= 3010 && running.committed_tokens <= 3700);
+    }
+
+    void places_are_given_back() {
+        struct row {
+            char const* name;
+            void (*act)(grant_ledger&);
+        };
+        std::vector<row> const table{
+            {"the entry ends it", [](grant_ledger& ledger) { ledger.end("a", ledger_start + 10ms); }},
+            {"the entry is lost", [](grant_ledger& ledger) { ledger.remove_entry(1); }},
+            {"the request never came",
+             [](grant_ledger& ledger) { ledger.observe(idle_engine(), ledger_start + 500ms); }},
+            {"the run has ended",
+             [](grant_ledger& ledger) {
+                 auto report = idle_engine();
+                 report.generating = {{"a", 3000}};
+                 ledger.observe(report, ledger_start + 400ms);
+                 ledger.observe(idle_engine(), ledger_start + 450ms);
+             }},
+        };
+        for_each_row(table, [](row const& tested) {
+            grant_ledger ledger;
+            CPPUNIT_ASSERT(ledger.grant(prompt("a"), idle_engine(), ledger_start));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ledger.size());
+            tested.act(ledger);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, ledger.size());
+        });
+    }
+
+    // Answers engines that leave together: copies of their requests go to engines that still read prompts.
+    void copies_do_not_wait_for_prompts() {
+        grant_ledger ledger;
+        auto report = idle_engine();
+        report.used_tokens = 18000;
+        report.queued = 3;
+        place_request const copy{1, "copy", 0, 4000, 24, false};
+        CPPUNIT_ASSERT(!ledger.grant(prompt("prompt"), report, ledger_start));
+        CPPUNIT_ASSERT(ledger.grant(copy, report, ledger_start));
+        // The second copy of the same moment no longer fits.
+        CPPUNIT_ASSERT(!ledger.grant(place_request{2, "other", 0, 4000, 24, false}, report, ledger_start));
+        report.leaving = true;
+        CPPUNIT_ASSERT(!ledger.grant(place_request{2, "small", 0, 100, 24, false}, report, ledger_start));
+    }
+
+    // An engine that turned slow gets fewer prompts.
+    void learns_how_fast_the_engine_reads() {
+        grant_ledger ledger;
+        auto now = ledger_start;
+        for (int turn = 0; turn < 12; ++turn) {
+            auto const request = "r" + std::to_string(turn);
+            CPPUNIT_ASSERT(ledger.grant(prompt(request), idle_engine(), now));
+            now += 1500ms;
+            auto report = idle_engine();
+            report.generating = {{request, 3000}};
+            ledger.observe(report, now);
+            ledger.observe(idle_engine(), now + 50ms);
+            now += 100ms;
+        }
+        auto const pace = ledger.complete(idle_engine(), now).reading_pace;
+        CPPUNIT_ASSERT(pace > 1.9 && pace < 2.4);
+        CPPUNIT_ASSERT(ledger.grant(prompt("first"), idle_engine(), now));
+        CPPUNIT_ASSERT(!ledger.grant(prompt("second"), idle_engine(), now));
+    }
+
+    // Prompts of entries that could not ask, and those that are read again after a preemption.
+    void counts_prompts_without_a_grant() {
+        grant_ledger ledger;
+        auto report = idle_engine();
+        report.queued = 2;
+        auto const completed = ledger.complete(report, ledger_start);
+        CPPUNIT_ASSERT(completed.unread_tokens >= 4000);
+        CPPUNIT_ASSERT(!ledger.grant(prompt("a"), report, ledger_start));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(grant_ledger_test);
+
+} // namespace cyclamenledge::tests
--- /dev/null
+++ b/Tests/forwarding/load_replay.cpp
@@ -0,0 +1,282 @@
+#include "forwarding/load_replay.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cyclamenledge::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace forwarding;
+
+constexpr base::time_point replay_start{std::chrono::hours{1}};
+constexpr base::milliseconds tick{5};
+constexpr base::milliseconds report_interval{50};
+constexpr base::milliseconds load_interval{150};
+constexpr base::milliseconds long_objective{1800};
+constexpr base::milliseconds short_objective{1500};
+constexpr base::milliseconds first_event_reserve{700};
+constexpr int most_agents_asked = 4;
+
+engine_model::engine_parameters parameters_of(double slow_factor) {
+    engine_model::engine_parameters parameters;
+    auto const scaled = [&](double microseconds) { return base::from_seconds(microseconds * slow_factor / 1'000'000); };
+    parameters.step_base = scaled(7000);
+    parameters.step_per_stream = scaled(120);
+    parameters.step_per_thousand_held = scaled(4);
+    parameters.prefill_per_token = scaled(8000.0 / 112);
+    parameters.prefill_chunk = 112;
+    parameters.memory_tokens = 26784;
+    parameters.maximum_batch = 24;
+    return parameters;
+}
+
+route_set_pointer replay_routes() {
+    service engines;
+    engines.name = "writer";
+    engines.engine = engine_capacity{24, 26784, true, true, 4, 163840, 24000, base::milliseconds{5000}};
+    return std::make_shared<route_set const>(1, std::vector<route>{}, std::vector<service>{engines},
+                                             std::vector<organisation>{}, input_limits{});
+}
+
+std::string domain_name(std::size_t domain) {
+    return "d" + std::to_string(domain);
+}
+
+} // namespace
+
+load_replay::load_replay(replay_load const& load)
+    : load_(load)
+    , random_(load.seed)
+    , now_(replay_start) {
+    std::map<std::string, std::string> regions;
+    for (std::size_t domain = 0; domain < load.domains; ++domain)
+        regions[domain_name(domain)] = "r" + std::to_string(domain / 2);
+    for (std::size_t domain = 0; domain < load.domains; ++domain) {
+        for (std::size_t entry = 0; entry < load.entries_per_domain; ++entry) {
+            entries_.push_back({domain, fleet_view{domain_name(domain), regions, random_.next()}, {}});
+            entries_.back().view.apply_routes(replay_routes());
+        }
+        for (std::size_t engine = 0; engine < load.engines_per_domain; ++engine) {
+            auto const id = domain_name(domain) + "-" + std::to_string(engine);
+            auto const slow = engine % 3 == 2 ? load.slow_factor : 1.0;
+            engines_.push_back({id, domain, engine_model::engine{parameters_of(slow), now_, false}, {}, {}, {}});
+            engines_by_id_[id] = &engines_.back();
+        }
+    }
+    for (auto& site : engines_) {
+        target_record record;
+        record.id = site.id;
+        record.service = "writer";
+        record.address = site.id + ":1";
+        record.failure_domain = domain_name(site.domain);
+        record.slots = 24;
+        for (auto& entry : entries_)
+            entry.view.update_target(record, now_);
+        after(base::milliseconds{random_.below(50)}, [this, &site] { read_report(site); });
+    }
+    after(100ms, [this] { arrive(); });
+}
+
+void load_replay::after(base::duration delay, std::function<void()> action) {
+    agenda_.emplace(now_ + delay, std::move(action));
+}
+
+base::milliseconds load_replay::delay_between(std::size_t one, std::size_t other) const {
+    if (one == other)
+        return 0ms;
+    return one / 2 == other / 2 ? 1ms : 20ms;
+}
+
+std::uint32_t load_replay::lognormal(double mean, double spread, double most) {
+    auto const sigma = std::sqrt(std::log(1 + spread * spread));
+    std::lognormal_distribution<double> distribution{std::log(mean) - sigma * sigma / 2, sigma};
+    return static_cast<std::uint32_t>(std::clamp(distribution(random_.engine()), 1.0, most));
+}
+
+void load_replay::arrive() {
+    auto const since = now_ - replay_start;
+    bool const burst = since >= load_.burst_at && since < load_.burst_at + load_.burst_length;
+    auto const rate = (load_.long_rate + load_.short_rate) * (burst ? load_.burst_factor : 1.0);
+    request added;
+    added.id = requests_.size() + 1;
+    added.entry = random_.below(entries_.size());
+    added.is_long = random_.unit() < load_.long_rate / (load_.long_rate + load_.short_rate);
+    added.arrived = now_;
+    added.size.prompt = added.is_long ? lognormal(3000, 0.35, 6000) : lognormal(2200, 0.6, 6000);
+    added.output = 4 * (added.is_long ? lognormal(187, 1.09, 439) : lognormal(2, 1.1, 7));
+    added.size.output_limit = added.is_long ? 1756 : 28;
+    added.size.output_hint = std::max(1U, static_cast<std::uint32_t>(added.output * std::exp2(2 * random_.unit() - 1)));
+    auto const id = added.id;
+    requests_.emplace(id, std::move(added));
+    place(id, 0);
+    if (since < load_.length)
+        after(base::from_seconds(-std::log(1 - random_.unit()) / rate), [this] { arrive(); });
+}
+
+base::time_point load_replay::on_time_until(request const& wanted) const {
+    return wanted.arrived + (wanted.is_long ? long_objective : short_objective) - first_event_reserve;
+}
+
+placement_request load_replay::need(request const& wanted) const {
+    placement_request needed;
+    needed.service = "writer";
+    needed.size = wanted.size;
+    return needed;
+}
+
+void load_replay::place(std::uint64_t id, int asked) {
+    auto& wanted = requests_.at(id);
+    auto& entry = entries_[wanted.entry];
+    auto const priority = wanted.is_long ? 1U : 0U;
+    auto const line_up = [&] {
+        entry.waiting.remove(id);
+        entry.waiting.add({id, "writer", priority, wanted.arrived, on_time_until(wanted)});
+    };
+    if (asked == 0 && entry.waiting.has_before("writer", priority, now_))
+        return line_up();
+    auto const chosen = entry.view.choose(need(wanted), now_);
+    if (chosen.kind != placement_kind::placed || asked >= most_agents_asked)
+        return line_up();
+    auto const promise = entry.view.begin_request(chosen.target, wanted.size, now_);
+    ask_agent(id, chosen.target, promise, asked + 1);
+}
+
+void load_replay::ask_agent(std::uint64_t id, std::string const& target, std::uint64_t promise, int asked) {
+    auto& site = *engines_by_id_.at(target);
+    auto const delay = delay_between(entries_[requests_.at(id).entry].domain, site.domain);
+    requests_.at(id).placed = true;
+    if (!load_.agents_grant) {
+        after(delay, [this, id, &site] { submit(id, site); });
+        return;
+    }
+    after(delay, [this, id, promise, asked, delay, &site] {
+        auto const& wanted = requests_.at(id);
+        place_request question{wanted.entry, std::to_string(id), wanted.size.prompt, wanted.size.expected_memory(), 24,
+                               false};
+        bool const granted = site.ledger.grant(std::move(question), site.report, now_);
+        tell(site);
+        after(delay, [this, id, promise, asked, delay, granted, &site] {
+            auto& entry = entries_[requests_.at(id).entry];
+            entry.view.settle_promise(site.id, promise);
+            if (granted) {
+                after(delay, [this, id, &site] { submit(id, site); });
+                return;
+            }
+            ++refusals_;
+            requests_.at(id).placed = false;
+            entry.view.end_request(site.id);
+            place(id, asked);
+        });
+    });
+}
+
+void load_replay::submit(std::uint64_t id, engine_site& site) {
+    auto const& wanted = requests_.at(id);
+    site.model.submit({id, wanted.size.prompt, wanted.output, 0, 0, 0}, now_);
+}
+
+void load_replay::read_report(engine_site& site) {
+    auto const running = site.model.running();
+    auto const live = site.model.live();
+    engine_report report;
+    report.running = running;
+    report.queued = static_cast<std::uint32_t>(live.size()) - running;
+    report.used_tokens = site.model.held_tokens();
+    report.total_tokens = 26784;
+    report.entries = static_cast<std::uint32_t>(entries_.size());
+    for (auto const& item : live) {
+        if (item.produced > 0)
+            report.generating.push_back({std::to_string(item.id), item.prompt_tokens + item.produced});
+    }
+    report.reading = running - std::min(running, static_cast<std::uint32_t>(report.generating.size()));
+    site.report = std::move(report);
+    site.ledger.observe(site.report, now_);
+    if (now_ - site.told_at >= load_interval)
+        tell(site);
+    after(report_interval, [this, &site] { read_report(site); });
+}
+
+void load_replay::tell(engine_site& site) {
+    site.told_at = now_;
+    auto told = site.ledger.complete(site.report, now_);
+    told.generating.clear();
+    for (auto& entry : entries_) {
+        after(delay_between(entry.domain, site.domain), [this, &entry, &site, told] {
+            entry.view.update_report(site.id + ":1", told, now_);
+            try_waiting(entry);
+        });
+    }
+}
+
+void load_replay::try_waiting(entry_site& entry) {
+    for (auto const id : entry.waiting.order("writer", now_)) {
+        auto const& wanted = requests_.at(id);
+        auto const chosen = entry.view.choose(need(wanted), now_);
+        if (chosen.kind != placement_kind::placed)
+            continue;
+        entry.waiting.remove(id);
+        auto const promise = entry.view.begin_request(chosen.target, wanted.size, now_);
+        ask_agent(id, chosen.target, promise, most_agents_asked);
+    }
+}
+
+void load_replay::advance_engines() {
+    for (auto& site : engines_) {
+        for (auto const& event : site.model.advance(now_)) {
+            auto& wanted = requests_.at(event.id);
+            if (event.kind == engine_model::engine_event_kind::preempted)
+                ++preempted_;
+            // The first event of a stream holds four tokens.
+            if (event.kind == engine_model::engine_event_kind::token && event.index == 3)
+                wanted.first_event = event.at + delay_between(entries_[wanted.entry].domain, site.domain);
+            if (event.kind == engine_model::engine_event_kind::completed) {
+                if (!wanted.first_event)
+                    wanted.first_event = event.at;
+                auto& entry = entries_[wanted.entry];
+                after(delay_between(entry.domain, site.domain), [&entry, &site] { entry.view.end_request(site.id); });
+            }
+        }
+    }
+}
+
+replay_outcome load_replay::outcome(bool is_long) const {
+    replay_outcome result;
+    std::vector<base::milliseconds> times;
+    for (auto const& [id, wanted] : requests_) {
+        if (wanted.is_long != is_long)
+            continue;
+        ++result.asked;
+        if (!wanted.first_event)
+            continue;
+        ++result.started;
+        times.push_back(std::chrono::duration_cast<base::milliseconds>(*wanted.first_event - wanted.arrived));
+        result.on_time += times.back() <= (is_long ? long_objective : short_objective) ? 1 : 0;
+    }
+    std::ranges::sort(times);
+    if (!times.empty()) {
+        result.median_first_event = times[times.size() / 2];
+        result.slowest_hundredth = times[times.size() * 99 / 100];
+    }
+    result.preempted = preempted_;
+    result.refusals_by_agents = refusals_;
+    return result;
+}
+
+replay_result load_replay::run() {
+    auto const end = replay_start + load_.length + 8s;
+    while (now_ < end) {
+        now_ += tick;
+        advance_engines();
+        while (!agenda_.empty() && agenda_.begin()->first <= now_) {
+            auto const action = std::move(agenda_.begin()->second);
+            agenda_.erase(agenda_.begin());
+            action();
+        }
+    }
+    return {outcome(true), outcome(false)};
+}
+
+} // namespace cyclamenledge::tests
--- a/Tests/forwarding/placement_test.cpp
+++ b/Tests/forwarding/placement_test.cpp
@@ -59,6 +59,8 @@
                 report.reading = std::min(prompts, 1U);
                 report.queued = prompts - report.reading;
                 report.running = report.reading;
+                // As the agent completes it; the prompt that is being read is half done on average.
+                report.unread_tokens = prompts == 0 ? 0 : 3000 * prompts - 1500;
                 for (auto& entry : entries)
                     entry.update_report(id + ":1", report, now);
             }
@@ -92,6 +94,7 @@
     CPPUNIT_TEST(first_events_stay_on_time_in_a_burst);
     CPPUNIT_TEST(chooses_only_targets_that_may_run_the_request);
     CPPUNIT_TEST(waits_for_room_unless_late);
+    CPPUNIT_TEST(new_engines_wait_for_their_agent);
     CPPUNIT_TEST(ejection_never_leaves_a_service_without_targets);
     CPPUNIT_TEST(cold_targets_get_their_rate_from_all_entries_together);
     CPPUNIT_TEST(copies_stay_near);
@@ -158,6 +161,7 @@
         fleet.update_target(engine_record("a", "north-a"), fleet_start);
         auto report = idle_report();
         report.used_tokens = 30000;
+        report.committed_tokens = 31000;
         report.running = 6;
         fleet.update_report("a:1", report, fleet_start);
         auto request = generation();
@@ -166,6 +170,32 @@
         CPPUNIT_ASSERT(fleet.choose(request, fleet_start).kind == placement_kind::placed);
     }
 
+    // Answers engines that come and go: a new one looked idle to every entry at once, and all of them sent prompts
+    // there.
+    void new_engines_wait_for_their_agent() {
+        auto fleet = make_fleet();
+        fleet.update_target(engine_record("new", "north-a"), fleet_start);
+        CPPUNIT_ASSERT(fleet.choose(generation(), fleet_start + 500ms).kind == placement_kind::wait);
+        fleet.update_report("new:1", idle_report(), fleet_start + 600ms);
+        CPPUNIT_ASSERT(fleet.choose(generation(), fleet_start + 600ms).kind == placement_kind::placed);
+
+        // Without an agent, each of four entries fills its part of half the slots.
+        auto without = make_fleet();
+        without.update_target(engine_record("known", "north-a"), fleet_start);
+        without.update_report("known:1", idle_report(), fleet_start);
+        without.update_target(engine_record("silent", "north-a"), fleet_start);
+        without.forget_report("known");
+        int placed = 0;
+        auto const later = fleet_start + 2s;
+        for (; placed < 100; ++placed) {
+            auto const chosen = without.choose(generation(), later);
+            if (chosen.kind != placement_kind::placed)
+                break;
+            without.begin_request(chosen.target, generation().size, later);
+        }
+        CPPUNIT_ASSERT_EQUAL(6, placed);
+    }
+
     // Guards against an outage that is caused by ejections.
     void ejection_never_leaves_a_service_without_targets() {
         auto fleet = make_fleet();
--- a/Tests/platform/decoding_test.cpp
+++ b/Tests/platform/decoding_test.cpp
@@ -78,6 +78,10 @@
         CPPUNIT_ASSERT(report.value().leaving);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{345}, static_cast<std::int64_t>(report.value().leaves_in->count()));
         CPPUNIT_ASSERT_EQUAL(2U, report.value().reading);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report.value().generating.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"a"}, report.value().generating.front().request);
+        CPPUNIT_ASSERT_EQUAL(1U, report.value().generating.front().tokens);
+        CPPUNIT_ASSERT(!platform::decode_engine_report(R"({"kvTotal":900,"runs":[["a"]]})").has_value());
         CPPUNIT_ASSERT(!platform::decode_engine_report("{}").has_value());
     }
 
