Watch the store from few entries; spend no allowance on unreachable targets

Ruled out: longer pauses between watches, which delay new engines at all entries.

Change: the entries that the settings name as peers watch the store and push changes to the others, with a sign of life each 400 ms. An entry that hears from fewer than two of them for 1.2 s watches the store itself (feed_table). attempt_policy decides repetition and the final answer for plain calls and streams from one table; a target that could not be reached costs no allowance and may be followed by up to three others. Connections are given 300 ms.

Tests: attempt_test (table, and refusals_are_true over random histories), feeds_are_missed_before_changes_are_late.

--- /dev/null
+++ b/Libraries/forwarding/attempt_policy.cpp
@@ -0,0 +1,25 @@
+#include "forwarding/attempt_policy.h"
+
+namespace cyclamenledge::forwarding {
+
+repetition may_repeat(attempt_facts const& facts) {
+    bool const another_run_allowed = facts.may_run_again && facts.runs < facts.maximum_runs;
+    if (facts.runs > 0 && !another_run_allowed)
+        return repetition::none;
+    if (facts.outcome == send_outcome::not_sent)
+        return facts.unsent < most_unsent ? repetition::free : repetition::none;
+    if (facts.outcome == send_outcome::not_run)
+        return repetition::on_allowance;
+    bool const bad = facts.outcome == send_outcome::unknown || facts.server_error;
+    return bad && another_run_allowed ? repetition::on_allowance : repetition::none;
+}
+
+final_answer conclude(attempt_facts const& facts) {
+    if (facts.outcome == send_outcome::answered)
+        return final_answer::pass_on;
+    if (facts.outcome == send_outcome::unknown || facts.runs > 0)
+        return final_answer::fail;
+    return facts.outcome == send_outcome::not_run ? final_answer::pass_on : final_answer::refuse;
+}
+
+} // namespace cyclamenledge::forwarding
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -189,17 +189,16 @@
 
 void forwarding_agent_role::grant_turn() {
     auto const leaves_in = report_ ? report_->leaves_in : std::nullopt;
-    auto const turn = turns_.next(leaves_in, base::clock::now());
-    if (!turn)
-        return;
-    auto const entry = entries_.find(turn->entry);
-    if (entry == entries_.end()) {
-        turns_.remove(turn->request);
-        return;
+    while (auto const turn = turns_.next(leaves_in, base::clock::now())) {
+        auto const entry = entries_.find(turn->entry);
+        if (entry == entries_.end()) {
+            turns_.remove(turn->request);
+            continue;
+        }
+        wire::schema::LinkTurnT content;
+        content.request = turn->request;
+        entry->second->send(content);
     }
-    wire::schema::LinkTurnT content;
-    content.request = turn->request;
-    entry->second->send(content);
 }
 
 boost::json::object forwarding_agent_role::state() const {
--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -75,6 +75,7 @@
     , caller_server_(daemon.context(), limits_of(daemon.settings().limits, {}), forwarder_)
     , readiness_server_(daemon.context(), {}, readiness_)
     , operator_server_(daemon.context(), {}, operators_) {
+    store_.set_feeds(peers_.feeds());
     publications_.set_observer([this] { on_targets_change(); });
     agents_.set_observer([this] {
         placements_.on_capacity_change();
@@ -109,6 +110,7 @@
     follow_limits();
     placements_.on_capacity_change();
     streams_.on_fleet_change();
+    peers_.tell_followers();
 }
 
 void forwarding_entry_role::follow_limits() {
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr base::milliseconds connect_timeout{700};
 constexpr std::size_t maximum_answer_bytes = 16UL * 1024 * 1024;
 // A kept connection may be closed by its target at any moment, and a request that meets the close may have run. One
 // that must not run twice therefore only uses connections that were in use a moment ago.
@@ -25,6 +24,8 @@
 // of that one is still on time.
 constexpr int objective_parts = 2;
 constexpr base::milliseconds shortest_attempt{60};
+// When a caller may come back whose request no target took.
+constexpr base::milliseconds come_back_after{500};
 // Time to place a request that finds no room within its objective.
 constexpr base::milliseconds run_time_reserve{60};
 
@@ -75,12 +76,11 @@
     auto const now = base::clock::now();
     if (caller_left_ || now >= request_.deadline)
         return false;
-    bool const allowed = last.outcome == send_outcome::not_run ||
-                         (request_.may_run_again() && runs_ < request_.route->maximum_attempts &&
-                          (last.outcome == send_outcome::unknown || last.server_error()));
-    if (!allowed)
+    auto const allowed = forwarding::may_repeat(facts_of(last));
+    if (allowed == forwarding::repetition::none)
         return false;
-    if (!parts_.board.allowance(request_.service).try_spend(parts_.board.fleet.entry_count(), now)) {
+    bool const free = allowed == forwarding::repetition::free;
+    if (!free && !parts_.board.allowance(request_.service).try_spend(parts_.board.fleet.entry_count(), now)) {
         parts_.metrics.add(metrics::counter_kind::retry_budget_exhausted);
         return false;
     }
@@ -88,65 +88,71 @@
     return true;
 }
 
+forwarding::attempt_facts plain_exchange::facts_of(send_result const& last) const {
+    return {last.outcome, last.server_error(), request_.may_run_again(), runs_, request_.route->maximum_attempts,
+            unsent_};
+}
+
 asio::awaitable<http::response> plain_exchange::find_answer() {
     parts_.board.allowance(request_.service).count_request(request_.arrived);
     send_result last;
     while (true) {
         auto const target = co_await parts_.placements.place(need());
         if (!target) {
-            // Every other target was used already: the answer of the last one stands.
-            if (last.answer && (last.outcome == send_outcome::answered || runs_ == 0))
-                co_return std::move(*last.answer);
-            if (runs_ > 0)
-                break;
-            co_return own_answer(target.error());
+            if (used_.empty())
+                co_return own_answer(target.error());
+            // Every other target was used already: the outcome at the last one stands.
+            break;
         }
         last = co_await send_to(target.value());
         parts_.placements.release(target.value(), request_.caller.id);
         used_.push_back(target.value());
-        bool const good = last.outcome == send_outcome::answered && !last.server_error();
-        if (good || !may_send_again(last))
+        if (!may_send_again(last))
             break;
         log::write(log::event_kind::request_sent_again,
                    {{"request", request_.caller.id}, {"after", target.value()}, {"reason", last.reason}});
     }
-    // "Not run" is true only when no earlier target may have run the request.
-    bool const never_ran = last.outcome == send_outcome::not_run && runs_ == 0;
-    if (last.answer && (last.outcome == send_outcome::answered || never_ran)) {
+    co_return final_answer(std::move(last));
+}
+
+http::response plain_exchange::final_answer(send_result last) {
+    auto const conclusion = forwarding::conclude(facts_of(last));
+    if (conclusion == forwarding::final_answer::pass_on && last.answer) {
         log::write(log::event_kind::request_finished,
                    {{"request", request_.caller.id}, {"status", last.answer->result_int()}, {"targets", used_.size()}});
-        co_return std::move(*last.answer);
+        return std::move(*last.answer);
     }
-    auto const failure =
-        never_ran
-            ? base::make_error(base::error_kind::overloaded, "no target took the request", base::milliseconds{500})
-            : base::make_error(base::clock::now() >= request_.deadline ? base::error_kind::deadline_exceeded
-                                                                       : base::error_kind::link_lost,
-                               "no answer from the target: " + last.reason);
     if (!caller_left_)
         log::write(log::event_kind::request_failed,
                    {{"request", request_.caller.id}, {"reason", last.reason}, {"targets", used_.size()}});
-    co_return own_answer(failure);
+    if (conclusion == forwarding::final_answer::refuse)
+        return own_answer(
+            base::make_error(base::error_kind::overloaded, "no target took the request", come_back_after));
+    auto const kind =
+        base::clock::now() >= request_.deadline ? base::error_kind::deadline_exceeded : base::error_kind::link_lost;
+    return own_answer(base::make_error(kind, "no answer from the target: " + last.reason));
 }
 
 asio::awaitable<send_result> plain_exchange::send_to(std::string target) {
     auto const* view = parts_.board.fleet.find(target);
     if (view == nullptr)
-        co_return send_result{send_outcome::not_run, "target_gone", {}};
+        co_return send_result{send_outcome::not_sent, "target_gone", {}};
     auto const address = view->record.address;
     auto const now = base::clock::now();
     auto const until = attempt_limit(now);
-    auto connected = co_await parts_.connections.acquire(address, std::min(connect_timeout, request_.time_left(now)),
-                                                         request_.may_run_again() ? any_idle_time : fresh_connection);
+    auto connected = co_await parts_.connections.acquire(
+        address, std::min(target_connections::connect_timeout, request_.time_left(now)),
+        request_.may_run_again() ? any_idle_time : fresh_connection);
     if (!connected) {
+        ++unsent_;
         parts_.placements.record_outcome(target, forwarding::target_outcome::unreachable);
-        co_return send_result{send_outcome::not_run, connected.error().message, {}};
+        co_return send_result{send_outcome::not_sent, connected.error().message, {}};
     }
     // The deadline or the caller may have gone while the connection was opened.
     bool const still_allowed = parts_.board.fleet.may_receive(target, base::clock::now());
     if (caller_left_ || base::clock::now() >= request_.deadline || !still_allowed) {
         parts_.connections.release(address, connected.value(), {});
-        co_return send_result{send_outcome::not_run, still_allowed ? "deadline" : "target_leaving", {}};
+        co_return send_result{send_outcome::not_sent, still_allowed ? "deadline" : "target_leaving", {}};
     }
     current_ = connected.value();
     platform::forwarded_context context;
@@ -160,10 +166,10 @@
     else
         result = co_await read_answer(address, current_, until);
     current_.reset();
-    if (result.outcome != send_outcome::not_run)
+    if (result.may_have_run())
         ++runs_;
     using enum forwarding::target_outcome;
-    if (!caller_left_ && result.outcome != send_outcome::not_run)
+    if (!caller_left_ && result.may_have_run())
         parts_.placements.record_outcome(
             target, result.outcome == send_outcome::answered && !result.server_error() ? answered : failed);
     if (result.reason == "other_target")
--- a/Libraries/forwarding_entry/plain_exchange.h
+++ b/Libraries/forwarding_entry/plain_exchange.h
@@ -30,6 +30,8 @@
                                                     base::time_point until);
     base::time_point attempt_limit(base::time_point now) const;
     bool may_send_again(send_result const& last);
+    forwarding::attempt_facts facts_of(send_result const& last) const;
+    http::response final_answer(send_result last);
     placement_need need();
     void on_caller_left();
 
@@ -38,6 +40,7 @@
     http::upstream_pointer current_;
     std::vector<std::string> used_;
     std::uint32_t runs_{0};
+    std::uint32_t unsent_{0};
     bool caller_left_{false};
 };
 
--- a/Libraries/forwarding_entry/send_result.h
+++ b/Libraries/forwarding_entry/send_result.h
@@ -1,23 +1,15 @@
 #pragma once
 
+#include "forwarding/attempt_policy.h"
 #include "http/message.h"
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
 namespace cyclamenledge::forwarding_entry {
 
-/// How sending a request to a target ended.
-enum class send_outcome : std::uint8_t {
-    /// The target's own answer, success or not.
-    answered,
-    /// The target states that it did not run the request, or nothing was sent.
-    not_run,
-    /// The request may have run.
-    unknown,
-};
+using forwarding::send_outcome;
 
 struct send_result {
     send_outcome outcome{send_outcome::unknown};
@@ -25,6 +17,8 @@
     std::string reason;
     std::optional<http::response> answer;
 
+    /// Whether the target may have run the request.
+    bool may_have_run() const { return outcome == send_outcome::answered || outcome == send_outcome::unknown; }
     bool server_error() const { return answer && answer->result_int() >= 500; }
 };
 
--- a/Libraries/forwarding_entry/store_controller.cpp
+++ b/Libraries/forwarding_entry/store_controller.cpp
@@ -28,6 +28,8 @@
 // Time beyond the wait after which the store counts as silent.
 constexpr base::milliseconds answer_timeout{1200};
 constexpr base::milliseconds list_timeout{2000};
+// An entry whose feeds have fallen silent goes back to the store within this time.
+constexpr base::milliseconds feed_check_interval{200};
 constexpr base::milliseconds first_pause{120};
 constexpr base::milliseconds longest_pause{900};
 // After this long without an answer, peers know more than this process.
@@ -74,6 +76,11 @@
 asio::awaitable<void> store_controller::follow(part_state& state) {
     asio::steady_timer timer{context_};
     while (true) {
+        if (take_feeds(state)) {
+            timer.expires_after(feed_check_interval);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
         auto const done = co_await read_once(state);
         if (done) {
             on_answer(state);
@@ -91,6 +98,24 @@
     }
 }
 
+bool store_controller::take_feeds(part_state& state) {
+    auto const now = base::clock::now();
+    auto const told = feeds_ != nullptr && state.as_of ? feeds_->told_up_to(now) : std::nullopt;
+    if (!told)
+        return false;
+    state.client.close();
+    state.as_of = std::max(*state.as_of, *told);
+    state.last_answer = now;
+    state.failures = 0;
+    return true;
+}
+
+bool store_controller::watching(base::time_point now) const {
+    return std::ranges::all_of(parts_, [&](part_state const& state) {
+        return state.failures == 0 && state.last_read && now - *state.last_read < watch_wait + answer_timeout;
+    });
+}
+
 http::awaitable_result<void> store_controller::read_once(part_state& state) {
     if (!state.as_of)
         co_return co_await list(state);
@@ -142,6 +167,7 @@
                                                      {"revision", state.as_of.value_or(0)}});
     state.failures = 0;
     state.last_answer = base::clock::now();
+    state.last_read = state.last_answer;
 }
 
 } // namespace cyclamenledge::forwarding_entry
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -21,7 +21,6 @@
 
 namespace {
 
-constexpr base::milliseconds connect_timeout{700};
 constexpr base::milliseconds any_idle_time{3'600'000};
 // A kept connection may be closed by its target at any moment, and a request that meets the close may have run.
 constexpr base::milliseconds fresh_connection{1000};
@@ -184,14 +183,16 @@
     driven->connection.reset();
     std::erase(runs_, driven);
     parts_.placements.release(driven->target, request_.caller.id);
-    if (result.outcome != send_outcome::not_run)
+    if (result.may_have_run())
         ++targets_run_;
+    if (result.outcome == send_outcome::not_sent)
+        ++unsent_;
     bool const good = result.outcome == send_outcome::answered && !result.server_error();
     using enum forwarding::target_outcome;
     // A target that is expected to stop says nothing about its health when it does.
     auto const* view = parts_.board.fleet.find(driven->target);
     bool const expected = view != nullptr && view->leaving(base::clock::now());
-    if (!driven->cancelled && !caller_left_ && !expected && result.outcome != send_outcome::not_run)
+    if (!driven->cancelled && !caller_left_ && !expected && result.may_have_run())
         parts_.placements.record_outcome(driven->target, good ? answered : failed);
     if (result.reason == "other_target")
         parts_.board.fleet.mark_leaving(driven->target);
@@ -201,17 +202,17 @@
 }
 
 asio::awaitable<send_result> stream_exchange::send_and_read(stream_run_pointer driven) {
-    auto connected = co_await parts_.connections.acquire(driven->address, connect_timeout,
+    auto connected = co_await parts_.connections.acquire(driven->address, target_connections::connect_timeout,
                                                          request_.may_run_again() ? any_idle_time : fresh_connection);
     if (!connected) {
         parts_.placements.record_outcome(driven->target, forwarding::target_outcome::unreachable);
-        co_return send_result{send_outcome::not_run, connected.error().message, {}};
+        co_return send_result{send_outcome::not_sent, connected.error().message, {}};
     }
     auto const left = request_.time_left(base::clock::now());
     bool const still_allowed = parts_.board.fleet.may_receive(driven->target, base::clock::now());
     if (driven->cancelled || caller_left_ || left.count() <= 0 || !still_allowed) {
         parts_.connections.release(driven->address, connected.value(), {});
-        co_return send_result{send_outcome::not_run, "no longer wanted", {}};
+        co_return send_result{send_outcome::not_sent, "no longer wanted", {}};
     }
     driven->connection = connected.value();
     driven->context.time_left = left;
@@ -379,27 +380,30 @@
 
 void stream_exchange::recover(stream_run& ended, send_result result) {
     auto const now = base::clock::now();
-    if (result.outcome != send_outcome::not_run && resume_from_backup(ended))
+    if (result.may_have_run() && resume_from_backup(ended))
         return;
-    bool const passed = relay_.passed_any();
-    bool const has_runs_left = targets_run_ < request_.route->maximum_attempts;
     // A successor that was refused leaves a run that has happened, whatever its refusal states.
-    bool const never_ran = result.outcome == send_outcome::not_run && targets_run_ == 0;
-    bool const again = never_ran || (request_.may_run_again() && has_runs_left &&
-                                     (result.outcome != send_outcome::answered || result.server_error()));
-    if (again && parts_.board.allowance(request_.service).try_spend(parts_.board.fleet.entry_count(), now)) {
+    forwarding::attempt_facts const facts{
+        result.outcome, result.server_error(), request_.may_run_again(), targets_run_, request_.route->maximum_attempts,
+        unsent_};
+    bool const passed = relay_.passed_any();
+    auto const allowed = forwarding::may_repeat(facts);
+    if (allowed == forwarding::repetition::free ||
+        (allowed == forwarding::repetition::on_allowance &&
+         parts_.board.allowance(request_.service).try_spend(parts_.board.fleet.entry_count(), now))) {
         log::write(passed ? log::event_kind::stream_recovered : log::event_kind::request_sent_again,
                    {{"request", request_.caller.id}, {"after", used_.back()}, {"reason", result.reason}});
         parts_.metrics.add(metrics::counter_kind::retries);
         phase_ = phase::wanting_run;
         return;
     }
-    if (!passed && result.answer && (result.outcome == send_outcome::answered || targets_run_ == 0)) {
+    auto const conclusion = forwarding::conclude(facts);
+    if (!passed && result.answer && conclusion == forwarding::final_answer::pass_on) {
         answer_ = std::move(result.answer);
         phase_ = phase::answered;
         return;
     }
-    if (never_ran) {
+    if (conclusion == forwarding::final_answer::refuse) {
         fail(base::make_error(base::error_kind::overloaded, "no target took the request", base::milliseconds{500}),
              result.reason);
         return;
@@ -544,7 +548,8 @@
         co_return false;
     }
     auto const began = base::clock::now();
-    auto const connected = co_await parts_.connections.acquire(source->address, connect_timeout, any_idle_time);
+    auto const connected =
+        co_await parts_.connections.acquire(source->address, target_connections::connect_timeout, any_idle_time);
     platform::copy_result copied;
     if (connected) {
         platform::copy_order order{request_.caller.id, destination, false};
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -96,6 +96,7 @@
     std::vector<stream_run_pointer> runs_;
     std::vector<std::string> used_;
     std::uint32_t targets_run_{0};
+    std::uint32_t unsent_{0};
     std::optional<http::response_head> head_;
     bool head_sent_{false};
     std::string outbox_;
--- a/Libraries/forwarding_entry/target_connections.h
+++ b/Libraries/forwarding_entry/target_connections.h
@@ -14,6 +14,10 @@
 /// Connections to targets that are kept between requests.
 class target_connections {
 public:
+    /// Six times the round trip to the furthest region. A lost opening packet is sent again only after a second, so
+    /// that another target is better.
+    static constexpr base::milliseconds connect_timeout{300};
+
     explicit target_connections(boost::asio::any_io_executor executor)
         : executor_(std::move(executor)) {}
 
--- /dev/null
+++ b/Tests/forwarding/attempt_test.cpp
@@ -0,0 +1,111 @@
+#include "base/random.h"
+#include "forwarding/attempt_policy.h"
+#include "forwarding/feed_table.h"
+#include "support/property.h"
+#include "support/table_test.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace cyclamenledge::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace forwarding;
+
+constexpr base::time_point feed_start{std::chrono::hours{1}};
+
+} // namespace
+
+class attempt_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(attempt_test);
+    CPPUNIT_TEST(repetition_and_final_answer);
+    CPPUNIT_TEST(refusals_are_true);
+    CPPUNIT_TEST(feeds_are_missed_before_changes_are_late);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void repetition_and_final_answer() {
+        struct row {
+            char const* name;
+            attempt_facts facts;
+            repetition again;
+            final_answer conclusion;
+        };
+        using enum send_outcome;
+        std::vector<row> const table{
+            {"success", {answered, false, true, 1, 2, 0}, repetition::none, final_answer::pass_on},
+            {"failed read", {answered, true, true, 1, 2, 0}, repetition::on_allowance, final_answer::pass_on},
+            {"failed read, no runs left", {answered, true, true, 2, 2, 0}, repetition::none, final_answer::pass_on},
+            {"failed order", {answered, true, false, 1, 2, 0}, repetition::none, final_answer::pass_on},
+            {"lost order", {unknown, false, false, 1, 2, 0}, repetition::none, final_answer::fail},
+            {"lost read", {unknown, false, true, 1, 2, 0}, repetition::on_allowance, final_answer::fail},
+            {"refused order", {not_run, true, false, 0, 1, 0}, repetition::on_allowance, final_answer::pass_on},
+            {"refused after a lost read", {not_run, true, true, 1, 2, 0}, repetition::on_allowance, final_answer::fail},
+            {"refused after two lost reads", {not_run, true, true, 2, 2, 0}, repetition::none, final_answer::fail},
+            // A region was cut off: each target there cost the allowance, and requests were refused beside idle
+            // targets.
+            {"unreachable", {not_sent, false, false, 0, 1, 1}, repetition::free, final_answer::refuse},
+            {"all unreachable", {not_sent, false, false, 0, 1, 4}, repetition::none, final_answer::refuse},
+            {"unreachable after a lost read", {not_sent, false, true, 1, 2, 1}, repetition::free, final_answer::fail},
+        };
+        for_each_row(table, [](row const& tested) {
+            CPPUNIT_ASSERT(may_repeat(tested.facts) == tested.again);
+            CPPUNIT_ASSERT(conclude(tested.facts) == tested.conclusion);
+        });
+    }
+
+    // Sends a request to targets that do anything, as long as the policy allows it, and looks at what they ran.
+    void refusals_are_true() {
+        check_property("refusals are true", [](std::uint64_t seed) {
+            base::random_source random{seed};
+            bool const may_run_again = random.below(2) == 0;
+            attempt_facts facts;
+            facts.may_run_again = may_run_again;
+            facts.maximum_runs = 1 + static_cast<std::uint32_t>(random.below(3));
+            std::uint32_t ran = 0;
+            while (true) {
+                static constexpr std::array outcomes{send_outcome::answered, send_outcome::not_run,
+                                                     send_outcome::not_sent, send_outcome::unknown};
+                facts.outcome = outcomes.at(random.below(outcomes.size()));
+                facts.server_error = random.below(2) == 0;
+                bool const may_have_run =
+                    facts.outcome == send_outcome::answered || facts.outcome == send_outcome::unknown;
+                ran += may_have_run ? 1 : 0;
+                facts.runs += may_have_run ? 1 : 0;
+                facts.unsent += facts.outcome == send_outcome::not_sent ? 1 : 0;
+                if (may_repeat(facts) == repetition::none || random.below(4) == 0)
+                    break;
+            }
+            RC_ASSERT(ran <= (may_run_again ? facts.maximum_runs : 1));
+            auto const conclusion = conclude(facts);
+            RC_ASSERT(conclusion != final_answer::refuse || ran == 0);
+            // A target's statement that it did not run the request is passed on only when no other one may have.
+            RC_ASSERT(conclusion != final_answer::pass_on || facts.outcome == send_outcome::answered || ran == 0);
+        });
+    }
+
+    void feeds_are_missed_before_changes_are_late() {
+        feed_table feeds;
+        CPPUNIT_ASSERT(!feeds.told_up_to(feed_start));
+        feeds.hear("one", 7, feed_start);
+        CPPUNIT_ASSERT(!feeds.told_up_to(feed_start));
+        feeds.hear("two", 9, feed_start + 100ms);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, feeds.told_up_to(feed_start + 100ms).value());
+        // With the 200 ms until the store is read again, a change is in force well within 2.5 s.
+        CPPUNIT_ASSERT(!feeds.told_up_to(feed_start + 1500ms));
+        feeds.hear("one", 9, feed_start + 1500ms);
+        feeds.hear("two", 9, feed_start + 1500ms);
+        CPPUNIT_ASSERT(feeds.told_up_to(feed_start + 1600ms));
+        feeds.lose("two");
+        CPPUNIT_ASSERT(!feeds.told_up_to(feed_start + 1600ms));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(attempt_test);
+
+} // namespace cyclamenledge::tests
