Add a fault soak of real processes; drop frames of ended connections

A write failed and ended the connection while a frame that had arrived before waited to be handled; its handler was gone.

Change: cyclamen-soak plays entries and agents as processes on loopback against stand-ins of the platform (platform/standin) with proxies between them, and checks what callers and targets see. receive_frames drops a frame whose connection has ended.

--- /dev/null
+++ b/Development/soak/caller.cpp
@@ -0,0 +1,242 @@
+#include "soak/caller.h"
+
+#include "forwarding/event_splitter.h"
+#include "network/endpoint.h"
+#include "platform/request_headers.h"
+#include "platform/standin/caller_messages.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace cyclamenledge::soak {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::uint32_t plain_deadline = 2500;
+constexpr std::uint32_t stream_deadline = 15000;
+// A caller that has waited longer than its deadline gives up.
+constexpr base::milliseconds patience{1500};
+constexpr base::milliseconds connect_timeout{1000};
+constexpr std::size_t most_bytes = 1024UL * 1024;
+constexpr base::milliseconds longest_pause{60};
+// An entry in its planned stop and everything around it were undisturbed for this long.
+constexpr base::milliseconds calm_before{4500};
+
+struct route_definition {
+    char const* prefix;
+    bool may_run_again;
+    bool plain;
+};
+// In the order of caller::route.
+constexpr std::array<route_definition, 4> routes{{
+    {"/gen/", false, false},
+    {"/resume/", true, false},
+    {"/order/", false, true},
+    {"/read/", true, true},
+}};
+
+bool refused(unsigned status) {
+    return status == 429 || status == 503;
+}
+
+} // namespace
+
+caller::caller(asio::io_context& context, fleet& world, run_ledger& ledger, std::uint64_t number, std::uint64_t seed)
+    : context_(context)
+    , world_(world)
+    , ledger_(ledger)
+    , number_(number)
+    , random_(seed) {}
+
+std::string caller::next_id() {
+    return std::to_string(number_) + "-" + std::to_string(next_id_++);
+}
+
+asio::awaitable<void> caller::run(bool const& stop) {
+    asio::steady_timer timer{context_};
+    while (!stop) {
+        auto const choice = random_.below(10);
+        co_await call(choice < 2   ? route::generation
+                      : choice < 4 ? route::resumable
+                      : choice < 7 ? route::order
+                                   : route::read);
+        if (random_.below(4) == 0)
+            co_await check_configuration(random_.below(world_.entries().size()));
+        timer.expires_after(base::milliseconds{random_.below(static_cast<std::uint64_t>(longest_pause.count()))});
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+asio::awaitable<void> caller::call(route kind) {
+    auto const& definition = routes.at(static_cast<std::size_t>(kind));
+    exchange made;
+    made.entry = random_.below(world_.entries().size());
+    made.request = next_id();
+    made.plain = definition.plain;
+    made.size = definition.plain ? random_.below(3000) : 1 + random_.below(120);
+    made.path = definition.prefix + std::to_string(made.size);
+    ledger_.begin_call(made.request, definition.may_run_again);
+    auto const began = base::clock::now();
+    auto const& process = world_.entries()[made.entry]->process;
+    auto const request = made.request;
+    auto const entry = made.entry;
+    auto const life = process.life;
+    auto const end = co_await perform(std::move(made));
+    ledger_.end_call(request, end);
+    // Calls that a planned stop meets are served or refused, not lost.
+    bool const one_life = process.life == life && ledger_.calm_since(began - calm_before);
+    if (definition.plain && end == call_end::broken && one_life && ledger_.find(request)->run_complete)
+        ledger_.violation("lost at entry " + std::to_string(entry) + (process.stopping ? " in a planned stop" : "") +
+                          ": " + request);
+}
+
+http::awaitable_result<http::upstream_pointer> caller::connect(exchange& made) {
+    if (auto const kept = std::exchange(kept_[made.entry], nullptr); kept && kept->quiet()) {
+        made.kept = true;
+        co_return kept;
+    }
+    BOOST_OUTCOME_CO_TRY(auto const endpoint, network::parse_endpoint(world_.entries()[made.entry]->caller_address));
+    http::upstream_pointer opened{new http::upstream_connection{context_.get_executor(), endpoint}};
+    BOOST_OUTCOME_CO_TRYV(co_await opened->connect(connect_timeout));
+    co_return opened;
+}
+
+asio::awaitable<call_end> caller::perform(exchange made) {
+    auto const connection = co_await connect(made);
+    if (!connection)
+        co_return call_end::broken;
+    platform::standin::caller_call content{made.request,
+                                           caller_host,
+                                           made.path,
+                                           caller_key,
+                                           made.plain ? plain_deadline : stream_deadline,
+                                           made.plain ? 0U : 400U + static_cast<std::uint32_t>(random_.below(3000)),
+                                           made.plain ? 0U : 600U};
+    auto const message = platform::standin::encode_call(content);
+    if (auto const sent = co_await connection.value()->send(message, connect_timeout); !sent) {
+        connection.value()->close();
+        co_return call_end::broken;
+    }
+    auto end = call_end::broken;
+    if (made.plain)
+        end = co_await read_plain(connection.value(), made);
+    else
+        end = co_await read_stream(connection.value(), made);
+    if (end != call_end::broken && connection.value()->reusable())
+        kept_[made.entry] = connection.value();
+    else
+        connection.value()->close();
+    co_return end;
+}
+
+asio::awaitable<call_end> caller::read_plain(http::upstream_pointer connection, exchange made) {
+    auto const wait = base::milliseconds{plain_deadline} + patience;
+    auto const head = co_await connection->read_head(wait);
+    if (!head)
+        co_return call_end::broken;
+    auto const body = co_await connection->read_whole_body(most_bytes, wait);
+    if (!body)
+        co_return call_end::broken;
+    auto const status = head.value().result_int();
+    auto const facts = platform::decode_answer(head.value());
+    if (!facts.request_id.empty() && facts.request_id != made.request)
+        ledger_.violation("the answer of " + facts.request_id + " went to " + made.request);
+    if (refused(status))
+        co_return call_end::refused;
+    if (status != 200)
+        co_return call_end::failed;
+    auto const expected = made.request + " at orders\n" + std::string(made.size, 'x');
+    if (body.value() != expected)
+        ledger_.violation("a success with another body: " + made.request);
+    co_return call_end::served;
+}
+
+asio::awaitable<call_end> caller::read_stream(http::upstream_pointer connection, exchange made) {
+    auto const wait = base::milliseconds{stream_deadline} + patience;
+    auto const head = co_await connection->read_head(wait);
+    if (!head)
+        co_return call_end::broken;
+    auto const status = head.value().result_int();
+    if (status != 200) {
+        if (!co_await connection->read_whole_body(most_bytes, wait))
+            co_return call_end::broken;
+        co_return refused(status) ? call_end::refused : call_end::failed;
+    }
+    forwarding::event_splitter splitter;
+    std::uint64_t expected = 1;
+    // Some callers leave in the middle.
+    auto const leaves_after = random_.below(20) == 0 ? made.size / 2 + 1 : made.size + 1;
+    while (true) {
+        auto const part = co_await connection->read_body(wait);
+        if (!part)
+            co_return call_end::broken;
+        if (part.value().empty())
+            break;
+        splitter.append(part.value());
+        while (auto const event = splitter.next()) {
+            auto const wanted = "data: " + made.request + ":" + std::to_string(expected) + "\n";
+            if (event->id != expected || event->bytes.find(wanted) == std::string_view::npos)
+                ledger_.violation("event " + std::to_string(expected) + " of " + made.request +
+                                  " is missing or wrong: " + std::string{event->bytes});
+            ++expected;
+        }
+        if (expected > leaves_after)
+            co_return call_end::broken;
+    }
+    if (expected != made.size + 1)
+        ledger_.violation("a stream of " + std::to_string(made.size) + " events ended as complete after " +
+                          std::to_string(expected - 1) + ": " + made.request);
+    co_return call_end::served;
+}
+
+asio::awaitable<unsigned> caller::probe(std::size_t entry, std::string path) {
+    exchange made;
+    made.entry = entry;
+    made.request = next_id();
+    ledger_.begin_call(made.request, true);
+    unsigned status = 0;
+    if (auto const connection = co_await connect(made); connection) {
+        platform::standin::caller_call content{made.request, caller_host, path, caller_key, plain_deadline, 0, 0};
+        auto const message = platform::standin::encode_call(content);
+        auto const wait = base::milliseconds{plain_deadline} + patience;
+        if (co_await connection.value()->send(message, connect_timeout)) {
+            auto const head = co_await connection.value()->read_head(wait);
+            if (head && co_await connection.value()->read_whole_body(most_bytes, wait)) {
+                status = head.value().result_int();
+                if (connection.value()->reusable())
+                    kept_[entry] = connection.value();
+            }
+        }
+    }
+    ledger_.end_call(made.request, status == 200     ? call_end::served
+                                   : refused(status) ? call_end::refused
+                                                     : call_end::failed);
+    co_return status;
+}
+
+asio::awaitable<void> caller::check_configuration(std::size_t entry) {
+    auto const& process = world_.entries()[entry]->process;
+    auto const life = process.life;
+    if (shown_[entry].life != life)
+        shown_[entry] = {life, 0};
+    auto const newest = world_.version();
+    auto const known = shown_[entry].version;
+    // A newer version may be in force already; an older one never again.
+    auto const asked = random_.below(2) == 0 && known > 0 ? known : newest;
+    auto const status = co_await probe(entry, "/v" + std::to_string(asked) + "/1");
+    if (process.life != life)
+        co_return;
+    if (status == 200)
+        shown_[entry].version = std::max(shown_[entry].version, asked);
+    if (status == 404 && asked <= known)
+        ledger_.violation("entry " + std::to_string(entry) + " went back from version " + std::to_string(known));
+}
+
+} // namespace cyclamenledge::soak
--- /dev/null
+++ b/Development/soak/caller.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "base/random.h"
+#include "http/upstream_connection.h"
+#include "soak/fleet.h"
+#include "soak/run_ledger.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace cyclamenledge::soak {
+
+/// Sends calls to entries over kept connections, one after the other, and checks each answer.
+class caller {
+public:
+    caller(boost::asio::io_context& context, fleet& world, run_ledger& ledger, std::uint64_t number,
+           std::uint64_t seed);
+
+    boost::asio::awaitable<void> run(bool const& stop);
+    /// Asks an entry for the routes of versions that it has shown before.
+    boost::asio::awaitable<void> check_configuration(std::size_t entry);
+
+private:
+    enum class route : std::uint8_t { generation, resumable, order, read };
+
+    struct exchange {
+        std::size_t entry{0};
+        std::string request;
+        std::string path;
+        std::uint64_t size{0};
+        bool plain{true};
+        bool kept{false};
+    };
+
+    boost::asio::awaitable<void> call(route kind);
+    boost::asio::awaitable<call_end> perform(exchange made);
+    boost::asio::awaitable<call_end> read_plain(http::upstream_pointer connection, exchange made);
+    boost::asio::awaitable<call_end> read_stream(http::upstream_pointer connection, exchange made);
+    http::awaitable_result<http::upstream_pointer> connect(exchange& made);
+    /// The status of a call for a path. Zero without an answer.
+    boost::asio::awaitable<unsigned> probe(std::size_t entry, std::string path);
+    std::string next_id();
+
+    boost::asio::io_context& context_;
+    fleet& world_;
+    run_ledger& ledger_;
+    std::uint64_t number_;
+    base::random_source random_;
+    std::uint64_t next_id_{1};
+    /// One kept connection to each entry.
+    std::map<std::size_t, http::upstream_pointer> kept_;
+    struct shown {
+        std::uint64_t life{0};
+        std::uint64_t version{0};
+    };
+    std::map<std::size_t, shown> shown_;
+};
+
+} // namespace cyclamenledge::soak
--- /dev/null
+++ b/Development/soak/fault_plan.cpp
@@ -0,0 +1,273 @@
+#include "soak/fault_plan.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <ostream>
+#include <tuple>
+#include <utility>
+
+namespace cyclamenledge::soak {
+
+namespace asio = boost::asio;
+using platform::standin::store_mode;
+
+namespace {
+
+// Between two actions, so that several of them overlap.
+constexpr std::uint64_t shortest_gap = 100;
+constexpr std::uint64_t longest_gap = 700;
+// The planned stop of an entry must not last longer.
+constexpr base::milliseconds stop_limit{9000};
+constexpr base::milliseconds settle_check{50};
+// Effects of a fault that was taken back, such as requests under way.
+constexpr base::milliseconds after_effect{1000};
+constexpr std::uint64_t shortest_notice = 1500;
+constexpr std::uint64_t longest_notice = 2100;
+
+std::int64_t unix_now() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+fault_plan::fault_plan(asio::io_context& context, fleet& world, run_ledger& ledger, std::uint64_t seed,
+                       std::ostream& log)
+    : context_(context)
+    , world_(world)
+    , ledger_(ledger)
+    , random_(seed)
+    , log_(log)
+    , began_(base::clock::now()) {}
+
+std::span<fault_plan::action const> fault_plan::actions() {
+    static constexpr std::array<action, 13> table{{
+        {"kill_entry", false, &fault_plan::kill_entry},
+        {"pause_entry", false, &fault_plan::pause_entry},
+        {"kill_agent", false, &fault_plan::kill_agent},
+        {"pause_agent", false, &fault_plan::pause_agent},
+        {"crash_target", false, &fault_plan::crash_target},
+        {"harm_target", false, &fault_plan::harm_target},
+        {"harm_store", false, &fault_plan::harm_store},
+        {"forget_history", false, &fault_plan::forget_history},
+        {"harm_link", false, &fault_plan::harm_link},
+        {"stop_entry", true, &fault_plan::stop_entry},
+        {"leave_engine", true, &fault_plan::leave_engine},
+        {"publish", true, &fault_plan::publish},
+        {"evacuate", true, &fault_plan::evacuate},
+    }};
+    return table;
+}
+
+asio::awaitable<void> fault_plan::pause(std::uint64_t least, std::uint64_t most) {
+    asio::steady_timer timer{context_, base::milliseconds{least + random_.below(most - least + 1)}};
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> fault_plan::run(base::milliseconds length, bool with_faults) {
+    auto const end = base::clock::now() + length;
+    auto const table = actions();
+    while (base::clock::now() < end) {
+        auto const& chosen = table[random_.below(table.size())];
+        if (chosen.planned || with_faults)
+            asio::co_spawn(context_, perform(chosen), asio::detached);
+        co_await pause(shortest_gap, longest_gap);
+    }
+}
+
+asio::awaitable<void> fault_plan::perform(action const& chosen) {
+    auto const since = [&] {
+        return std::chrono::duration_cast<base::milliseconds>(base::clock::now() - began_).count();
+    };
+    ++open_;
+    log_ << since() << " ms " << chosen.name << std::endl;
+    if (!chosen.planned)
+        ledger_.begin_disturbance();
+    co_await (this->*chosen.act)();
+    --open_;
+    if (!chosen.planned)
+        ledger_.end_disturbance(base::clock::now() + after_effect);
+}
+
+asio::awaitable<void> fault_plan::settle() {
+    asio::steady_timer timer{context_};
+    while (open_ > 0) {
+        timer.expires_after(settle_check);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    world_.repair();
+}
+
+entry_site& fault_plan::any_entry() {
+    return *world_.entries()[random_.below(world_.entries().size())];
+}
+
+target_site& fault_plan::any_target() {
+    return *world_.targets()[random_.below(world_.targets().size())];
+}
+
+target_site& fault_plan::any_engine() {
+    auto& targets = world_.targets();
+    auto const engines = std::ranges::count_if(targets, [](auto const& site) { return site->target->where().engine; });
+    return *targets[random_.below(static_cast<std::uint64_t>(engines))];
+}
+
+asio::awaitable<void> fault_plan::kill_entry() {
+    auto& process = any_entry().process;
+    if (process.ended_on_purpose || process.paused)
+        co_return;
+    process.ended_on_purpose = true;
+    process.process->kill();
+    co_await pause(100, 1500);
+    world_.start_daemon(process);
+}
+
+asio::awaitable<void> fault_plan::stop_entry() {
+    auto& process = any_entry().process;
+    auto const stopping =
+        std::ranges::count_if(world_.entries(), [](auto const& entry) { return entry->process.ended_on_purpose; });
+    if (process.ended_on_purpose || process.paused || stopping > 0)
+        co_return;
+    process.ended_on_purpose = true;
+    process.stopping = true;
+    process.process->send_signal(SIGTERM);
+    auto const until = base::clock::now() + stop_limit;
+    while (process.process->running() && base::clock::now() < until)
+        co_await pause(50, 50);
+    if (process.process->running())
+        ledger_.violation(process.name + " did not end its planned stop");
+    co_await pause(50, 400);
+    world_.start_daemon(process);
+}
+
+asio::awaitable<void> fault_plan::pause_entry() {
+    auto& process = any_entry().process;
+    if (process.ended_on_purpose || process.paused)
+        co_return;
+    process.paused = true;
+    process.process->send_signal(SIGSTOP);
+    co_await pause(100, 3000);
+    process.process->send_signal(SIGCONT);
+    process.paused = false;
+}
+
+asio::awaitable<void> fault_plan::kill_agent() {
+    auto& agent = any_engine().agent;
+    if (agent.ended_on_purpose || agent.paused)
+        co_return;
+    agent.ended_on_purpose = true;
+    agent.process->kill();
+    co_await pause(100, 2500);
+    world_.start_daemon(agent);
+}
+
+asio::awaitable<void> fault_plan::pause_agent() {
+    auto& agent = any_engine().agent;
+    if (agent.ended_on_purpose || agent.paused)
+        co_return;
+    agent.paused = true;
+    agent.process->send_signal(SIGSTOP);
+    co_await pause(100, 3000);
+    agent.process->send_signal(SIGCONT);
+    agent.paused = false;
+}
+
+asio::awaitable<void> fault_plan::crash_target() {
+    auto& site = any_target();
+    if (!site.target->up() || site.target->leaving())
+        co_return;
+    site.target->crash();
+    co_await pause(500, 2000);
+    world_.withdraw(site);
+    co_await pause(100, 1000);
+    if (site.target->start(unix_now()))
+        world_.announce(site);
+}
+
+asio::awaitable<void> fault_plan::leave_engine() {
+    auto& site = any_engine();
+    if (!site.target->up() || site.target->leaving())
+        co_return;
+    auto const notice = base::milliseconds{shortest_notice + random_.below(longest_notice - shortest_notice)};
+    site.target->leave(notice);
+    auto const id = site.target->id();
+    co_await pause(30, 180);
+    world_.announce(site);
+    ledger_.close_target(id, base::clock::now());
+    co_await pause(static_cast<std::uint64_t>(notice.count()), static_cast<std::uint64_t>(notice.count()));
+    site.target->crash();
+    world_.withdraw(site);
+    co_await pause(500, 2500);
+    if (site.target->start(unix_now()))
+        world_.announce(site);
+}
+
+asio::awaitable<void> fault_plan::harm_target() {
+    auto& site = any_target();
+    static constexpr std::array<platform::standin::target_faults, 4> kinds{
+        {{0.3, 0, 0, 0}, {0, 0.4, 0, 0}, {0, 0, 0.3, 0}, {0, 0, 0, 0.3}}};
+    site.target->set_faults(kinds.at(random_.below(kinds.size())));
+    co_await pause(500, 3000);
+    site.target->set_faults({});
+}
+
+asio::awaitable<void> fault_plan::harm_store() {
+    static constexpr std::array<store_mode, 3> modes{store_mode::refusing, store_mode::silent, store_mode::closing};
+    world_.store().set_mode(modes.at(random_.below(modes.size())));
+    co_await pause(300, 4000);
+    world_.store().set_mode(store_mode::serving);
+}
+
+asio::awaitable<void> fault_plan::forget_history() {
+    world_.store().forget_history();
+    co_return;
+}
+
+asio::awaitable<void> fault_plan::harm_link() {
+    static constexpr std::array<proxy_mode, 5> modes{proxy_mode::delay, proxy_mode::cut_requests,
+                                                     proxy_mode::cut_answers, proxy_mode::silence, proxy_mode::close};
+    fault_proxy* proxy = nullptr;
+    switch (random_.below(4)) {
+    case 0:
+        proxy = any_entry().caller_proxy.get();
+        break;
+    case 1:
+        proxy = any_entry().store_proxy.get();
+        break;
+    case 2:
+        proxy = any_target().proxy.get();
+        break;
+    default:
+        proxy = any_engine().agent_proxy.get();
+        break;
+    }
+    if (random_.below(3) == 0) {
+        proxy->reset_connections();
+        co_return;
+    }
+    proxy->set_mode(modes.at(random_.below(modes.size())));
+    co_await pause(200, 3000);
+    proxy->set_mode(proxy_mode::pass);
+}
+
+asio::awaitable<void> fault_plan::publish() {
+    world_.publish_configuration();
+    co_return;
+}
+
+asio::awaitable<void> fault_plan::evacuate() {
+    auto const domain = random_.below(fleet::domain_count);
+    world_.evacuate(domain, true);
+    co_await pause(1000, 6000);
+    world_.evacuate(domain, false);
+}
+
+} // namespace cyclamenledge::soak
--- /dev/null
+++ b/Development/soak/fleet.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "base/random.h"
+#include "platform/standin/store_standin.h"
+#include "platform/standin/target_standin.h"
+#include "soak/fault_proxy.h"
+#include "soak/run_ledger.h"
+#include "support/process/program.h"
+#include "support/process/temporary_folder.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cyclamenledge::soak {
+
+struct fleet_size {
+    std::size_t entries{4};
+    std::size_t engines{6};
+    std::size_t services{3};
+};
+
+/// A daemon under test with what it needs to be started again.
+struct daemon {
+    std::string name;
+    std::string settings;
+    std::unique_ptr<tests::process::program> process;
+    /// Counts its starts, so that observations of one life are told from those of the next.
+    std::uint64_t life{0};
+    /// The soak has ended it and will start it again.
+    bool ended_on_purpose{false};
+    bool paused{false};
+    /// Was told to stop and finishes what it has.
+    bool stopping{false};
+};
+
+struct entry_site {
+    daemon process;
+    std::string caller_address;
+    std::unique_ptr<fault_proxy> caller_proxy;
+    std::unique_ptr<fault_proxy> store_proxy;
+};
+
+struct target_site {
+    std::unique_ptr<platform::standin::target_standin> target;
+    std::unique_ptr<fault_proxy> proxy;
+    /// Only beside engines.
+    daemon agent;
+    std::unique_ptr<fault_proxy> agent_proxy;
+};
+
+/// The programs, the stand-ins of the platform and the proxies between them, on loopback.
+class fleet {
+public:
+    fleet(boost::asio::io_context& context, fleet_size const& size, run_ledger& ledger, base::random_source& random);
+    ~fleet();
+
+    base::result<void> start();
+    void start_daemon(daemon& wanted);
+    /// Fails the run when a daemon has ended that nobody ended.
+    void check_daemons();
+    void announce(target_site& site);
+    void withdraw(target_site& site);
+    void publish_configuration();
+    std::uint64_t version() const { return version_; }
+    void evacuate(std::size_t domain, bool evacuated);
+    /// Takes every fault back and starts what is down.
+    void repair();
+
+    std::vector<std::unique_ptr<entry_site>>& entries() { return entries_; }
+    std::vector<std::unique_ptr<target_site>>& targets() { return targets_; }
+    platform::standin::store_standin& store() { return store_; }
+    std::string output_folder() const { return folder_.path().string(); }
+    /// The end of each daemon's output, for a failed run.
+    std::string describe() const;
+
+    static constexpr std::size_t domain_count = 3;
+
+private:
+    base::result<void> add_entry(std::size_t number, std::vector<std::string> const& seeds);
+    base::result<void> add_target(std::size_t number, bool engine);
+
+    boost::asio::io_context& context_;
+    fleet_size size_;
+    run_ledger& ledger_;
+    base::random_source& random_;
+    tests::process::temporary_folder folder_;
+    std::string host_;
+    platform::standin::store_standin store_;
+    std::string store_address_;
+    platform::standin::target_directory directory_;
+    std::vector<std::unique_ptr<entry_site>> entries_;
+    std::vector<std::unique_ptr<target_site>> targets_;
+    std::uint64_t version_{0};
+};
+
+inline constexpr char const* caller_host = "callers.example";
+inline constexpr char const* caller_key = "soak-key";
+
+} // namespace cyclamenledge::soak
--- /dev/null
+++ b/Development/soak/run_ledger.cpp
@@ -0,0 +1,63 @@
+#include "soak/run_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenledge::soak {
+
+namespace {
+
+// The bounds that are promised for a target that leaves, and the time in which an undisturbed entry is in touch.
+constexpr base::milliseconds drain_bound{2500};
+constexpr base::milliseconds contact_time{4000};
+
+} // namespace
+
+void run_ledger::begin_call(std::string const& request, bool may_run_again) {
+    calls_[request].may_run_again = may_run_again;
+}
+
+void run_ledger::end_call(std::string const& request, call_end end) {
+    auto& call = calls_[request];
+    call.ended = true;
+    call.end = end;
+    if (end == call_end::refused && !call.may_run_again && call.runs > 0)
+        violation("refused after it ran: " + request);
+}
+
+void run_ledger::on_run(std::string const& request, platform::standin::target_standin const& target, bool continued) {
+    auto const now = base::clock::now();
+    auto const found = calls_.find(request);
+    if (found == calls_.end()) {
+        violation("a request that no caller sent: " + request);
+        return;
+    }
+    auto& call = found->second;
+    if (!continued && ++call.runs > 1 && !call.may_run_again)
+        violation("ran twice: " + request + " at " + target.id());
+    if (!continued && call.ended && call.end == call_end::refused && !call.may_run_again)
+        violation("ran after it was refused: " + request + " at " + target.id());
+    auto const closed = closed_.find(target.id());
+    if (closed != closed_.end() && now > closed->second + drain_bound && calm_since(closed->second - contact_time))
+        violation("reached a target that takes nothing: " + request + " at " + target.id());
+}
+
+void run_ledger::on_run_complete(std::string const& request) {
+    calls_[request].run_complete = true;
+}
+
+void run_ledger::violation(std::string text) {
+    violations_.push_back(std::move(text));
+}
+
+std::uint32_t run_ledger::count(call_end end) const {
+    return static_cast<std::uint32_t>(std::ranges::count_if(
+        calls_, [&](auto const& entry) { return entry.second.ended && entry.second.end == end; }));
+}
+
+call_record const* run_ledger::find(std::string const& request) const {
+    auto const found = calls_.find(request);
+    return found == calls_.end() ? nullptr : &found->second;
+}
+
+} // namespace cyclamenledge::soak
--- /dev/null
+++ b/Development/soak/run_ledger.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/time.h"
+#include "platform/standin/target_standin.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cyclamenledge::soak {
+
+/// What a caller received.
+enum class call_end : std::uint8_t {
+    served,
+    /// Refused with the promise that the request has not run and never will.
+    refused,
+    failed,
+    /// The connection ended without a whole answer.
+    broken,
+};
+
+struct call_record {
+    bool may_run_again{false};
+    std::uint32_t runs{0};
+    bool run_complete{false};
+    call_end end{call_end::broken};
+    bool ended{false};
+};
+
+/// Collects what callers and targets see and holds it against the promises.
+class run_ledger : public platform::standin::target_observer {
+public:
+    void begin_call(std::string const& request, bool may_run_again);
+    void end_call(std::string const& request, call_end end);
+    void on_run(std::string const& request, platform::standin::target_standin const& target, bool continued) override;
+    void on_run_complete(std::string const& request) override;
+
+    /// A fault that nobody planned is at work.
+    void begin_disturbance() { ++disturbances_; }
+    /// Its effects last until then.
+    void end_disturbance(base::time_point until) {
+        --disturbances_;
+        disturbed_until_ = std::max(disturbed_until_, until);
+    }
+    bool calm_since(base::time_point since) const { return disturbances_ == 0 && disturbed_until_ < since; }
+    /// The metadata store tells that the target leaves or its failure domain is evacuated; nothing new may come after.
+    void close_target(std::string const& target_id, base::time_point from) { closed_[target_id] = from; }
+    void open_target(std::string const& target_id) { closed_.erase(target_id); }
+
+    void violation(std::string text);
+    std::vector<std::string> const& violations() const { return violations_; }
+    std::uint32_t count(call_end end) const;
+    std::size_t calls() const { return calls_.size(); }
+    call_record const* find(std::string const& request) const;
+
+private:
+    std::map<std::string, call_record> calls_;
+    std::map<std::string, base::time_point> closed_;
+    std::uint32_t disturbances_{0};
+    base::time_point disturbed_until_{};
+    std::vector<std::string> violations_;
+};
+
+} // namespace cyclamenledge::soak
--- a/Libraries/link/connection.cpp
+++ b/Libraries/link/connection.cpp
@@ -137,6 +137,9 @@
             shut_down(received.error());
             co_return;
         }
+        // The connection can end while a frame that arrived before waits to be handled.
+        if (closed_)
+            co_return;
         count(received.value().kind(), received.value().size(), true);
         monitor_.on_frame(base::clock::now());
         if (received.value().kind() == wire::message_kind::heartbeat)
--- /dev/null
+++ b/Tests/soak/run_ledger_test.cpp
@@ -0,0 +1,120 @@
+#include "soak/run_ledger.h"
+#include "support/table_test.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace cyclamenledge::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using soak::call_end;
+using soak::run_ledger;
+
+struct world {
+    boost::asio::io_context context;
+    run_ledger ledger;
+    platform::standin::target_directory directory;
+    platform::standin::target_standin target{
+        context, {"orders", "domain", "127.0.0.1:1", "127.0.0.1:2", false}, directory, ledger, 1};
+
+    void run(std::string const& request, bool continued = false) { ledger.on_run(request, target, continued); }
+};
+
+} // namespace
+
+/// The checks of the fault soak, so that a run without findings says something.
+class run_ledger_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(run_ledger_test);
+    CPPUNIT_TEST(finds_broken_promises);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void finds_broken_promises() {
+        struct row {
+            char const* name;
+            void (*play)(world&);
+            bool broken;
+        };
+        std::vector<row> const table{
+            {"runs once",
+             [](world& played) {
+                 played.ledger.begin_call("a", false);
+                 played.run("a");
+                 played.ledger.end_call("a", call_end::served);
+             },
+             false},
+            {"runs twice",
+             [](world& played) {
+                 played.ledger.begin_call("a", false);
+                 played.run("a");
+                 played.run("a");
+             },
+             true},
+            {"goes on from a copy",
+             [](world& played) {
+                 played.ledger.begin_call("a", false);
+                 played.run("a");
+                 played.run("a", true);
+             },
+             false},
+            {"a read runs twice",
+             [](world& played) {
+                 played.ledger.begin_call("a", true);
+                 played.run("a");
+                 played.run("a");
+             },
+             false},
+            {"refused after it ran",
+             [](world& played) {
+                 played.ledger.begin_call("a", false);
+                 played.run("a");
+                 played.ledger.end_call("a", call_end::refused);
+             },
+             true},
+            {"runs after it was refused",
+             [](world& played) {
+                 played.ledger.begin_call("a", false);
+                 played.ledger.end_call("a", call_end::refused);
+                 played.run("a");
+             },
+             true},
+            {"nobody sent it", [](world& played) { played.run("a"); }, true},
+            {"at a target that left",
+             [](world& played) {
+                 played.ledger.begin_call("a", false);
+                 played.ledger.close_target(played.target.id(), base::clock::now() - 10s);
+                 played.run("a");
+             },
+             true},
+            {"at a target that leaves",
+             [](world& played) {
+                 played.ledger.begin_call("a", false);
+                 played.ledger.close_target(played.target.id(), base::clock::now() - 1s);
+                 played.run("a");
+             },
+             false},
+            {"at a target that left while the store was harmed",
+             [](world& played) {
+                 played.ledger.begin_call("a", false);
+                 played.ledger.begin_disturbance();
+                 played.ledger.close_target(played.target.id(), base::clock::now() - 10s);
+                 played.run("a");
+             },
+             false},
+        };
+        for_each_row(table, [](row const& tested) {
+            world played;
+            tested.play(played);
+            CPPUNIT_ASSERT_EQUAL(tested.broken, !played.ledger.violations().empty());
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(run_ledger_test);
+
+} // namespace cyclamenledge::tests
