Trace a request through the logs of many processes

Cause: to explain a failed request, engineers had to search the logs of every entry and relate them to what agents saw, with clocks that differ.

Change: `cyclamenctl trace ID FILE...` prints a request's lines in order, with what its process and its targets' agents learned at that time between them. Clocks are aligned by link_up, which both ends of a connection log. Agents name their target's address in their lines about it.

Ruled out: alignment by the order of messages, because agents do not log requests.

--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -102,13 +102,15 @@
         auto const report = co_await read_once();
         if (report) {
             if (failures_ > 0)
-                log::write(log::event_kind::target_reachable, {{"failures", failures_}});
+                log::write(log::event_kind::target_reachable,
+                           {{"address", daemon_.settings().target_address}, {"failures", failures_}});
             failures_ = 0;
             take_report(report.value());
         } else {
             connection_.reset();
             if (failures_++ == 0)
-                log::write(log::event_kind::target_unreachable, {{"reason", report.error().message}});
+                log::write(log::event_kind::target_unreachable,
+                           {{"address", daemon_.settings().target_address}, {"reason", report.error().message}});
         }
         timer.expires_after(failures_ > 0 ? failed_report_interval : report_interval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -138,7 +140,9 @@
         tell_entries();
     if (state_changed && report.leaving)
         log::write(log::event_kind::target_leaving,
-                   {{"leaves_in_ms", report.leaves_in ? report.leaves_in->count() : -1}, {"running", report.running}});
+                   {{"address", daemon_.settings().target_address},
+                    {"leaves_in_ms", report.leaves_in ? report.leaves_in->count() : -1},
+                    {"running", report.running}});
 }
 
 void forwarding_agent_role::answer(link::connection& entry, wire::schema::PlaceRequestT const& question) {
--- /dev/null
+++ b/Tests/trace/trace_test.cpp
@@ -0,0 +1,82 @@
+#include "trace/request_trace.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace cyclamenledge::tests {
+
+namespace {
+
+using trace::parse_log_line;
+using trace::request_trace;
+
+std::string line(std::int64_t time, std::string const& process, std::string const& event, std::string const& fields) {
+    return "{\"time_ms\":" + std::to_string(time) + ",\"process\":\"" + process +
+           "\",\"level\":\"info\",\"number\":1,\"event\":\"" + event + "\"," + fields + "}";
+}
+
+std::vector<std::string> events_of(std::vector<trace::traced_line> const& path) {
+    std::vector<std::string> events;
+    for (auto const& item : path)
+        events.push_back(item.line.event);
+    return events;
+}
+
+} // namespace
+
+class trace_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(trace_test);
+    CPPUNIT_TEST(reads_lines);
+    CPPUNIT_TEST(orders_processes_whose_clocks_differ);
+    CPPUNIT_TEST(unknown_requests);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void reads_lines() {
+        CPPUNIT_ASSERT(!parse_log_line(""));
+        CPPUNIT_ASSERT(!parse_log_line("not a log line"));
+        CPPUNIT_ASSERT(!parse_log_line("{\"time_ms\":1}"));
+        CPPUNIT_ASSERT(!parse_log_line("{\"event\":\"a\""));
+        auto const read = parse_log_line("  12.5 entry-1 " + line(7, "entry-1", "request_placed", R"("own_open":"3")"));
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, read->time);
+        CPPUNIT_ASSERT_EQUAL(std::string{"3"}, std::string{read->field("own_open")});
+        CPPUNIT_ASSERT(read->field("none").empty());
+    }
+
+    // The agent's clock is ten minutes ahead of the entry's. Another entry tells the same of another target.
+    void orders_processes_whose_clocks_differ() {
+        constexpr std::int64_t ahead = 600'000;
+        std::vector<std::string> const lines{
+            line(1000, "entry", "link_up", R"("peer":"agent")"),
+            line(1100, "entry", "target_seen", R"("target":"t1","address":"10.0.0.1:80")"),
+            line(1100, "entry", "target_seen", R"("target":"t2","address":"10.0.0.2:80")"),
+            line(2000, "entry", "request_placed", R"("request":"r","target":"t1")"),
+            line(3020, "entry", "target_leaving", R"("address":"10.0.0.1:80","source":"agent")"),
+            line(3030, "entry", "target_leaving", R"("address":"10.0.0.2:80","source":"agent")"),
+            line(4000, "entry", "request_failed", R"("request":"r","reason":"lost")"),
+            line(4100, "entry", "request_placed", R"("request":"other","target":"t1")"),
+            line(1000 + ahead, "agent", "link_up", R"("peer":"entry")"),
+            line(3000 + ahead, "agent", "target_leaving", R"("address":"10.0.0.1:80")"),
+            line(3000, "other-entry", "target_removed", R"("target":"t1")"),
+        };
+        request_trace traced;
+        for (auto const& text : lines)
+            traced.add(parse_log_line(text).value());
+        auto const path = traced.find("r");
+        std::vector<std::string> const expected{"target_seen", "request_placed", "target_leaving", "target_leaving",
+                                                "request_failed"};
+        CPPUNIT_ASSERT(events_of(path) == expected);
+        CPPUNIT_ASSERT_EQUAL(std::string{"agent"}, path[2].line.process);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1000}, static_cast<std::int64_t>(path[2].since_first.count()));
+        CPPUNIT_ASSERT_EQUAL(std::string{"  2000 ms  entry  request_failed  reason=lost"}, describe(path.back()));
+    }
+
+    void unknown_requests() { CPPUNIT_ASSERT(request_trace{}.find("r").empty()); }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(trace_test);
+
+} // namespace cyclamenledge::tests
--- a/Utilities/cyclamenctl/subcommands.cpp
+++ b/Utilities/cyclamenctl/subcommands.cpp
@@ -3,6 +3,7 @@
 #include "explain_command.h"
 #include "state_command.h"
 #include "subcommand.h"
+#include "trace_command.h"
 #include "version_command.h"
 
 #include <array>
@@ -16,8 +17,8 @@
     return std::make_unique<Command>();
 }
 
-constexpr std::array table{&make<check_command>, &make<state_command>, &make<explain_command>, &make<call_command>,
-                           &make<version_command>};
+constexpr std::array table{&make<check_command>, &make<state_command>, &make<explain_command>,
+                           &make<call_command>,  &make<trace_command>, &make<version_command>};
 
 } // namespace
 
--- /dev/null
+++ b/Utilities/cyclamenctl/trace_command.cpp
@@ -0,0 +1,51 @@
+#include "trace_command.h"
+
+#include "trace/request_trace.h"
+
+#include <fstream>
+#include <iostream>
+
+namespace cyclamenledge::control {
+
+namespace {
+
+void read_lines(std::istream& in, trace::request_trace& lines) {
+    for (std::string text; std::getline(in, text);) {
+        if (auto line = trace::parse_log_line(text))
+            lines.add(std::move(*line));
+    }
+}
+
+} // namespace
+
+void trace_command::add_options(CLI::App& options) {
+    options.add_option("REQUEST_ID", request_, "Id that the caller sent")->required();
+    options.add_option("FILE", files_, "Logs of entries and agents; standard input without any");
+    options.footer(
+        "Lines with ~ do not name the request: they are the state of its targets and of its process. Times are "
+        "milliseconds since the request's first line, by the clock of the process that served it.");
+}
+
+exit_status trace_command::run() {
+    trace::request_trace lines;
+    if (files_.empty())
+        read_lines(std::cin, lines);
+    for (auto const& path : files_) {
+        std::ifstream file{path};
+        if (!file) {
+            std::cerr << "cyclamenctl: cannot read " << path << '\n';
+            return exit_status::usage;
+        }
+        read_lines(file, lines);
+    }
+    auto const path = lines.find(request_);
+    for (auto const& line : path)
+        std::cout << trace::describe(line) << '\n';
+    if (path.empty()) {
+        std::cerr << "cyclamenctl: no line names the request " << request_ << '\n';
+        return exit_status::invalid;
+    }
+    return exit_status::ok;
+}
+
+} // namespace cyclamenledge::control
