Fill a request's placement need in one place

Cause: plain_exchange and stream_exchange filled the same fields of a placement_need; request_context.h did not include what it uses.

Ruled out: nothing, this changes no behaviour.

Change: make_need fills what both kinds share. The lint cache key of the soak's sources covers its headers.

Conclusion: one copy of the fields.

--- a/Libraries/forwarding_entry/placement_controller.h
+++ b/Libraries/forwarding_entry/placement_controller.h
@@ -3,33 +3,19 @@
 #include "base/result.h"
 #include "forwarding_entry/blackboard.h"
 #include "forwarding_entry/place_client.h"
+#include "forwarding_entry/placement_need.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 
 namespace cyclamenledge::forwarding_entry {
 
-/// A request that needs a target, and how long it may wait for one.
-struct placement_need {
-    std::string request_id;
-    forwarding::placement_request request;
-    std::uint32_t priority{0};
-    base::time_point arrived{};
-    /// After this time the request is late even if it is placed at once.
-    base::time_point on_time_until{};
-    /// After this time a full engine is better than waiting on.
-    base::time_point crowd_at{};
-    base::time_point give_up_at{};
-    std::function<bool()> cancelled;
-};
-
 /// Gives requests to targets, and keeps those that find no room waiting in order.
 class placement_controller {
 public:
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -51,12 +51,7 @@
 }
 
 placement_need plain_exchange::need() {
-    placement_need wanted;
-    wanted.request_id = request_.caller.id;
-    wanted.request = request_.placement();
-    wanted.request.excluded = used_;
-    wanted.priority = request_.priority();
-    wanted.arrived = request_.arrived;
+    auto wanted = make_need(request_, used_);
     wanted.on_time_until = request_.arrived + request_.route->latency_objective - run_time_reserve;
     wanted.crowd_at = wanted.on_time_until;
     wanted.give_up_at = request_.deadline - run_time_reserve;
--- a/Libraries/forwarding_entry/request_context.h
+++ b/Libraries/forwarding_entry/request_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/fleet_view.h"
 #include "forwarding/route_set.h"
 #include "http/session.h"
 #include "platform/request_headers.h"
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -98,12 +98,7 @@
 }
 
 asio::awaitable<void> stream_exchange::start_first_run() {
-    placement_need need;
-    need.request_id = request_.caller.id;
-    need.request = request_.placement();
-    need.request.excluded = used_;
-    need.priority = request_.priority();
-    need.arrived = request_.arrived;
+    auto need = make_need(request_, used_);
     need.on_time_until = request_.arrived + request_.route->latency_objective - first_event_reserve;
     need.give_up_at =
         std::min<base::time_point>(request_.deadline,
--- a/Meta/check_style.sh
+++ b/Meta/check_style.sh
@@ -12,7 +12,7 @@
 mkdir -p "$cache"
 lint_one() {
     local source=$1 build=$2 cache=$3 key
-    key=$( { cat .clang-tidy "$source"; g++ -std=c++20 -MM -I. -ILibraries -ITests "$source" 2>/dev/null \
+    key=$( { cat .clang-tidy "$source"; g++ -std=c++20 -MM -I. -ILibraries -ITests -IDevelopment "$source" 2>/dev/null \
         | tr ' \\' '\n\n' | grep -E '^(Libraries|Services|Utilities|Development|Tests|platform)/' | sort -u | xargs -r cat; } \
         | sha256sum | cut -c1-40)
     [ -e "$cache/$key" ] && return 0
--- a/Tests/forwarding/load_replay.cpp
+++ b/Tests/forwarding/load_replay.cpp
@@ -110,7 +110,7 @@
     added.size.output_limit = added.is_long ? 1756 : 28;
     added.size.output_hint = std::max(1U, static_cast<std::uint32_t>(added.output * std::exp2(2 * random_.unit() - 1)));
     auto const id = added.id;
-    requests_.emplace(id, std::move(added));
+    requests_.emplace(id, added);
     place(id, 0);
     if (since < load_.length)
         after(base::from_seconds(-std::log(1 - random_.unit()) / rate), [this] { arrive(); });
