Move the stand-ins of the platform to the tests

Change: platform/standin is Tests/support/platform. No code is changed apart from include paths.

Conclusion: the daemon's sources are as they were.

--- a/Development/soak/caller.cpp
+++ b/Development/soak/caller.cpp
@@ -3,7 +3,7 @@
 #include "forwarding/event_splitter.h"
 #include "network/endpoint.h"
 #include "platform/request_headers.h"
-#include "platform/standin/caller_messages.h"
+#include "support/platform/caller_messages.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/Development/soak/fleet.cpp
+++ b/Development/soak/fleet.cpp
@@ -1,6 +1,6 @@
 #include "soak/fleet.h"
 
-#include "platform/standin/caller_messages.h"
+#include "support/platform/caller_messages.h"
 
 #include <chrono>
 #include <csignal>
--- a/Development/soak/fleet.h
+++ b/Development/soak/fleet.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "base/random.h"
-#include "platform/standin/store_standin.h"
-#include "platform/standin/target_standin.h"
 #include "soak/fault_proxy.h"
 #include "soak/run_ledger.h"
+#include "support/platform/store_standin.h"
+#include "support/platform/target_standin.h"
 #include "support/process/program.h"
 #include "support/process/temporary_folder.h"
 
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/time.h"
-#include "platform/standin/target_standin.h"
+#include "support/platform/target_standin.h"
 
 #include <cstdint>
 #include <map>
--- a/Tests/process/operations/world.cpp
+++ b/Tests/process/operations/world.cpp
@@ -1,6 +1,6 @@
 #include "world.h"
 
-#include "platform/standin/caller_messages.h"
+#include "support/platform/caller_messages.h"
 #include "support/process/program.h"
 
 #include <cppunit/TestAssert.h>
--- a/platform/standin/caller_messages.cpp
+++ b/Tests/support/platform/caller_messages.cpp
@@ -1,4 +1,4 @@
-#include "platform/standin/caller_messages.h"
+#include "support/platform/caller_messages.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
--- a/platform/standin/store_standin.cpp
+++ b/Tests/support/platform/store_standin.cpp
@@ -1,4 +1,4 @@
-#include "platform/standin/store_standin.h"
+#include "support/platform/store_standin.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/platform/standin/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -1,4 +1,4 @@
-#include "platform/standin/target_standin.h"
+#include "support/platform/target_standin.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
