Complete a report once a message; remove what nothing reads

Cause: the agent completed its report with the ledger twice for each message to entries and twice in a state dump. Fields of routes, services, engines and answers were decoded and read by nothing, and end_verdict had names that nothing printed.

Ruled out: keeping the fields for later; the platform's documents are still there to decode.

Change: message() takes the completed report.

Conclusion: no behaviour is changed.

--- a/Libraries/forwarding/route.h
+++ b/Libraries/forwarding/route.h
@@ -39,8 +39,6 @@
     base::milliseconds timeout{};
     /// Time to the answer, or to the first event of a stream, within which a request is on time.
     base::milliseconds latency_objective{};
-    /// Longest pause between two events of a stream that is on time. Zero without one.
-    base::milliseconds gap_objective{};
     /// 0 is the most urgent.
     std::uint32_t priority{0};
     /// Targets on which one request may run.
@@ -61,18 +59,10 @@
     /// Whether the memory of a running request can be replicated while it grows.
     bool backups{false};
     std::uint32_t tokens_per_event{1};
-    std::uint64_t bytes_per_token{0};
-    double link_megabits{0};
-    /// How long a copy is kept that nothing uses.
-    base::milliseconds copy_lifetime{};
 };
 
 struct service {
     std::string name;
-    std::string health_path;
-    std::uint32_t maximum_connections{0};
-    /// How long a target stays cold after its start.
-    base::milliseconds cold_time{};
     /// Requests a second that a cold target bears. Zero without a limit.
     double cold_rate{0};
     std::optional<engine_capacity> engine;
--- a/Libraries/forwarding/stream_relay.cpp
+++ b/Libraries/forwarding/stream_relay.cpp
@@ -1,21 +1,9 @@
 #include "forwarding/stream_relay.h"
 
-#include "base/name_table.h"
-
 #include <utility>
 
 namespace cyclamenledge::forwarding {
 
-namespace {
-
-constexpr base::name_table<end_verdict, 3> verdict_names{base::make_names({"complete", "go_on", "recover"})};
-
-} // namespace
-
-std::string_view name_of(end_verdict verdict) {
-    return verdict_names.name(verdict);
-}
-
 run_number stream_relay::start_run() {
     active_ = next_++;
     successor_ = no_run;
--- a/Libraries/forwarding/stream_relay.h
+++ b/Libraries/forwarding/stream_relay.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <string_view>
 
 namespace cyclamenledge::forwarding {
 
@@ -29,8 +28,6 @@
     recover,
 };
 
-std::string_view name_of(end_verdict verdict);
-
 /// Joins the runs of one streamed request so that the caller receives each event once and in order. A run that goes on
 /// from the memory of another one is its successor; it takes over with its first event.
 class stream_relay {
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -86,7 +86,7 @@
 void forwarding_agent_role::on_up(link::connection& entry) {
     entries_[entry.number()] = link::connection_pointer{&entry};
     if (report_)
-        entry.send(message());
+        entry.send(message(current()));
 }
 
 void forwarding_agent_role::on_down(link::connection& entry, base::error const&) {
@@ -156,7 +156,7 @@
     if (reply.granted)
         tell_entries();
     else if (report_)
-        entry.send(message());
+        entry.send(message(current()));
     entry.send(reply);
 }
 
@@ -167,13 +167,12 @@
 void forwarding_agent_role::tell_entries() {
     told_ = current();
     told_at_ = base::clock::now();
-    auto const content = message();
+    auto const content = message(*told_);
     for (auto const& [number, entry] : entries_)
         entry->send(content);
 }
 
-wire::schema::EngineStateT forwarding_agent_role::message() const {
-    auto const report = current();
+wire::schema::EngineStateT forwarding_agent_role::message(forwarding::engine_report const& report) const {
     wire::schema::EngineStateT content;
     content.target_address = daemon_.settings().target_address;
     content.started_at = report.started_at;
@@ -209,13 +208,14 @@
     boost::json::object dump{
         {"target", daemon_.settings().target_address}, {"entries", entries_.size()}, {"failed_reports", failures_}};
     if (report_) {
-        dump["leaving"] = report_->leaving;
-        dump["running"] = report_->running;
-        dump["used_tokens"] = report_->used_tokens;
-        dump["committed_tokens"] = current().committed_tokens;
-        dump["unread_tokens"] = current().unread_tokens;
+        auto const report = current();
+        dump["leaving"] = report.leaving;
+        dump["running"] = report.running;
+        dump["used_tokens"] = report.used_tokens;
+        dump["committed_tokens"] = report.committed_tokens;
+        dump["unread_tokens"] = report.unread_tokens;
         dump["granted"] = ledger_.size();
-        dump["total_tokens"] = report_->total_tokens;
+        dump["total_tokens"] = report.total_tokens;
     }
     return dump;
 }
--- a/Libraries/forwarding_agent/forwarding_agent_role.h
+++ b/Libraries/forwarding_agent/forwarding_agent_role.h
@@ -44,7 +44,7 @@
     void tell_entries();
     /// The newest report with what was granted since.
     forwarding::engine_report current() const;
-    wire::schema::EngineStateT message() const;
+    wire::schema::EngineStateT message(forwarding::engine_report const& report) const;
     void grant_turn();
     void on_up(link::connection& entry) override;
     void on_down(link::connection& entry, base::error const& reason) override;
--- a/Tests/forwarding/fleet_fixture.h
+++ b/Tests/forwarding/fleet_fixture.h
@@ -14,7 +14,7 @@
     service engines;
     engines.name = "writer";
     engines.cold_rate = 40;
-    engines.engine = engine_capacity{24, 34000, true, true, 4, 163840, 24000, base::milliseconds{5000}};
+    engines.engine = engine_capacity{24, 34000, true, true, 4};
     service plain;
     plain.name = "orders";
     return std::make_shared<route_set const>(1, std::vector<route>{}, std::vector<service>{engines, plain},
--- a/Tests/forwarding/load_replay.cpp
+++ b/Tests/forwarding/load_replay.cpp
@@ -36,7 +36,7 @@
 route_set_pointer replay_routes() {
     service engines;
     engines.name = "writer";
-    engines.engine = engine_capacity{24, 26784, true, true, 4, 163840, 24000, base::milliseconds{5000}};
+    engines.engine = engine_capacity{24, 26784, true, true, 4};
     return std::make_shared<route_set const>(1, std::vector<route>{}, std::vector<service>{engines},
                                              std::vector<organisation>{}, input_limits{});
 }
