Log which target crashed under which content

The logs could not tell the hypotheses apart: they name the id of an attempt, which differs each time, and a lost connection looks the same whether the target crashed or not.

An entry now computes a fingerprint of each request's content, and when a target ends the connection of a running request, it opens a connection to the target. A refused connection, or another incarnation at the address, means a crash, which is logged as target_crashed with the request, the fingerprint and the target. Nothing is decided by it yet.

Errors of connections to targets now have the kind link_lost if the peer ended or refused the connection, and deadline_exceeded after a timeout; no caller distinguished the kinds before.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -316,6 +316,15 @@
     return found == targets_.end() ? nullptr : &found->second;
 }
 
+bool fleet_view::replaced(std::string const& id) const {
+    auto const* replaced = find(id);
+    return replaced != nullptr && std::ranges::any_of(targets_, [&](auto const& entry) {
+               auto const& target = entry.second;
+               return &target != replaced && !target.removed && target.record.address == replaced->record.address &&
+                      target.record.started_at > replaced->record.started_at;
+           });
+}
+
 std::uint32_t fleet_view::slots_of(std::string const& id) const {
     auto const* target = find(id);
     if (target == nullptr)
--- a/Libraries/forwarding_entry/entry_parts.h
+++ b/Libraries/forwarding_entry/entry_parts.h
@@ -12,6 +12,7 @@
 namespace cyclamenledge::forwarding_entry {
 
 class copy_slot_client;
+class crash_detector;
 class reservation_client;
 
 /// References to the components that all exchanges of an entry share.
@@ -23,6 +24,7 @@
     copy_slot_client& copy_slots;
     reservation_client& reservations;
     stream_registry& streams;
+    crash_detector& crashes;
     metrics::registry& metrics;
     base::random_source& random;
 };
--- a/Libraries/forwarding_entry/forwarder.cpp
+++ b/Libraries/forwarding_entry/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "forwarding_entry/forwarder.h"
 
+#include "forwarding/request_fingerprint.h"
 #include "forwarding_entry/answers.h"
 #include "forwarding_entry/plain_exchange.h"
 #include "forwarding_entry/stream_exchange.h"
@@ -74,6 +75,9 @@
     if (request.route->timeout.count() > 0)
         caller_timeout = std::min(caller_timeout, request.route->timeout);
     request.deadline = request.arrived + caller_timeout;
+    std::string_view const path{received.target().data(), received.target().size()};
+    request.fingerprint = forwarding::request_fingerprint(
+        request.organisation == nullptr ? "" : request.organisation->name, path, received.body());
     request.received = std::move(received);
     return request;
 }
--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -68,10 +68,11 @@
     , placements_(daemon.context(), board_, reservations_)
     , connections_(daemon.context().get_executor())
     , copy_slots_(daemon.context(), daemon.hub(), agent_directory_)
+    , crashes_(daemon.context(), board_)
     , agents_(daemon.hub(), board_, agent_directory_,
               static_cast<std::uint16_t>(daemon.settings().forwarding.agent_port))
-    , parts_{daemon.context(), board_,   placements_,      connections_, copy_slots_,
-             reservations_,    streams_, daemon.metrics(), random_}
+    , parts_{daemon.context(), board_,   placements_, connections_,     copy_slots_,
+             reservations_,    streams_, crashes_,    daemon.metrics(), random_}
     , forwarder_(daemon, parts_, [this] { return store_.is_current(base::clock::now()); })
     , operators_(daemon, *this)
     , readiness_(daemon, *this)
--- a/Libraries/forwarding_entry/forwarding_entry_role.h
+++ b/Libraries/forwarding_entry/forwarding_entry_role.h
@@ -4,6 +4,7 @@
 #include "forwarding_entry/agent_directory.h"
 #include "forwarding_entry/blackboard.h"
 #include "forwarding_entry/copy_slot_client.h"
+#include "forwarding_entry/crash_detector.h"
 #include "forwarding_entry/entry_parts.h"
 #include "forwarding_entry/forwarder.h"
 #include "forwarding_entry/peer_controller.h"
@@ -58,6 +59,7 @@
     target_connections connections_;
     copy_slot_client copy_slots_;
     stream_registry streams_;
+    crash_detector crashes_;
     agent_controller agents_;
     entry_parts parts_;
     forwarder forwarder_;
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding_entry/answer_reader.h"
 #include "forwarding_entry/answers.h"
+#include "forwarding_entry/crash_detector.h"
 #include "log/logger.h"
 
 #include <algorithm>
@@ -159,14 +160,17 @@
     context.target = target;
     context.organisation = request_.organisation == nullptr ? "" : request_.organisation->name;
     auto const message = platform::encode_forwarded(request_.received, context);
+    auto const sent_at = base::clock::now();
     send_result result;
     if (auto const sent = co_await connection_->send(message, request_.time_left(base::clock::now())); !sent)
-        result = {send_outcome::unknown, sent.error().message, {}};
+        result = make_unknown_result(sent.error());
     else
         result = co_await read_answer(address, connection_, attempt_end);
     connection_.reset();
     if (result.may_have_run())
         ++possible_runs_;
+    if (result.connection_lost && !caller_left_)
+        parts_.crashes.examine(target, {request_.caller.id, request_.fingerprint, sent_at});
     using enum forwarding::target_outcome;
     if (!caller_left_ && result.may_have_run())
         parts_.placements.record_outcome(
@@ -187,12 +191,12 @@
     auto const head = co_await read_matching_head(connection, std::move(expected));
     if (!head) {
         connection->close();
-        co_return send_result{send_outcome::unknown, head.error().message, {}};
+        co_return make_unknown_result(head.error());
     }
     auto body = co_await connection->read_whole_body(maximum_answer_bytes, left());
     if (!body) {
         connection->close();
-        co_return send_result{send_outcome::unknown, body.error().message, {}};
+        co_return make_unknown_result(body.error());
     }
     auto const facts = platform::decode_answer(head.value());
     bool const success = head.value().result_int() < 300;
--- a/Libraries/forwarding_entry/request_context.h
+++ b/Libraries/forwarding_entry/request_context.h
@@ -6,6 +6,7 @@
 #include "platform/request_headers.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
 
 namespace cyclamenledge::forwarding_entry {
@@ -21,6 +22,8 @@
     /// Null on a route that is open to all.
     forwarding::organisation const* organisation{nullptr};
     std::string service;
+    /// See forwarding::request_fingerprint.
+    std::uint64_t fingerprint{0};
     base::time_point arrived{};
     /// Time by which the caller expects the final answer.
     base::time_point deadline{};
--- a/Libraries/forwarding_entry/send_result.h
+++ b/Libraries/forwarding_entry/send_result.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/error.h"
 #include "forwarding/attempt_policy.h"
 #include "http/message.h"
 
@@ -17,10 +18,17 @@
     /// Logged with the outcome.
     std::string reason;
     std::optional<http::response> answer;
+    /// Whether the target ended the connection before the end of its answer.
+    bool connection_lost{false};
 
     /// Whether the target may have run the request.
     bool may_have_run() const { return outcome == send_outcome::answered || outcome == send_outcome::unknown; }
     bool server_error() const { return answer && answer->result_int() >= 500; }
 };
 
+/// The outcome of an attempt that failed while the request was sent or its answer was read.
+inline send_result make_unknown_result(base::error const& failure) {
+    return {send_outcome::unknown, failure.message, {}, failure.kind == base::error_kind::link_lost};
+}
+
 } // namespace cyclamenledge::forwarding_entry
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -3,6 +3,7 @@
 #include "forwarding_entry/answer_reader.h"
 #include "forwarding_entry/answers.h"
 #include "forwarding_entry/copy_slot_client.h"
+#include "forwarding_entry/crash_detector.h"
 #include "forwarding_entry/reservation_client.h"
 #include "log/logger.h"
 #include "platform/engine_calls.h"
@@ -183,6 +184,8 @@
         ++possible_runs_;
     if (result.outcome == send_outcome::not_sent)
         ++unsent_attempts_;
+    if (result.connection_lost && !current->cancelled && !caller_left_)
+        parts_.crashes.examine(current->target, {request_.caller.id, request_.fingerprint, current->sent_at});
     bool const succeeded = result.outcome == send_outcome::answered && !result.server_error();
     using enum forwarding::target_outcome;
     // The end of a run at a leaving target is expected and does not count against the target's health.
@@ -217,14 +220,14 @@
     current->sent_at = base::clock::now();
     auto const message = platform::encode_forwarded(request_.received, current->context);
     if (auto const sent = co_await current->connection->send(message, left); !sent)
-        co_return send_result{send_outcome::unknown, sent.error().message, {}};
+        co_return make_unknown_result(sent.error());
     // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
     expected_answer expected{request_.caller.id, true, maximum_answer_bytes,
                              [this, current] { return event_timeout(*current); }};
     auto const head = co_await read_matching_head(current->connection, std::move(expected));
     if (!head) {
         current->connection->close();
-        co_return send_result{send_outcome::unknown, head.error().message, {}};
+        co_return make_unknown_result(head.error());
     }
     co_return co_await read_events(current, head.value());
 }
@@ -236,7 +239,7 @@
     if (!success) {
         auto body = co_await connection->read_whole_body(maximum_answer_bytes, event_timeout(*current));
         if (!body)
-            co_return send_result{send_outcome::unknown, body.error().message, {}};
+            co_return make_unknown_result(body.error());
         parts_.connections.release(current->address, connection, facts.idle_timeout);
         auto reason = facts.other_target ? std::string{"other_target"} : "status " + std::to_string(head.result_int());
         co_return send_result{facts.not_run ? send_outcome::not_run : send_outcome::answered, std::move(reason),
@@ -252,7 +255,7 @@
         auto const part = co_await connection->read_body(event_timeout(*current));
         if (!part) {
             connection->close();
-            co_return send_result{send_outcome::unknown, part.error().message, {}};
+            co_return make_unknown_result(part.error());
         }
         if (part.value().empty())
             break;
--- a/Libraries/http/upstream_connection.cpp
+++ b/Libraries/http/upstream_connection.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <netinet/tcp.h>
+#include <string_view>
 #include <sys/socket.h>
 #include <utility>
 
@@ -22,6 +23,19 @@
 // Unacknowledged bytes mark the connection as dead after this time.
 constexpr int unacknowledged_limit_ms = 4000;
 
+base::error_kind kind_of(boost::system::error_code code) {
+    if (code == boost::beast::error::timeout)
+        return base::error_kind::deadline_exceeded;
+    bool const ended_by_peer = code == asio::error::connection_refused || code == asio::error::connection_reset ||
+                               code == asio::error::broken_pipe || code == asio::error::eof ||
+                               code == beast_http::error::end_of_stream || code == beast_http::error::partial_message;
+    return ended_by_peer ? base::error_kind::link_lost : base::error_kind::io_failed;
+}
+
+base::error make_transfer_error(std::string_view operation, boost::system::error_code code) {
+    return base::make_error(kind_of(code), std::string{operation} + ": " + code.message());
+}
+
 } // namespace
 
 upstream_connection::upstream_connection(asio::any_io_executor executor, asio::ip::tcp::endpoint endpoint)
@@ -32,7 +46,7 @@
     stream_.expires_after(timeout);
     auto [code] = co_await stream_.async_connect(endpoint_, as_tuple);
     if (code)
-        co_return base::make_error(base::error_kind::io_failed, "connect: " + code.message());
+        co_return make_transfer_error("connect", code);
     auto& socket = stream_.socket();
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
@@ -52,7 +66,7 @@
     sending_ = false;
     if (code) {
         failed_ = true;
-        co_return base::make_error(base::error_kind::io_failed, "send: " + code.message());
+        co_return make_transfer_error("send", code);
     }
     co_return base::success();
 }
@@ -62,12 +76,6 @@
     stream_.expires_after(std::max(timeout, base::milliseconds{1}));
 }
 
-base::error upstream_connection::read_error(boost::system::error_code code) const {
-    auto const kind =
-        code == boost::beast::error::timeout ? base::error_kind::deadline_exceeded : base::error_kind::io_failed;
-    return base::make_error(kind, "read: " + code.message());
-}
-
 awaitable_result<response_head> upstream_connection::read_head(base::milliseconds timeout, bool body_expected) {
     upstream_pointer const self{this};
     while (true) {
@@ -79,7 +87,7 @@
         auto [code, bytes] = co_await beast_http::async_read_header(stream_, buffer_, *parser_, as_tuple);
         if (code) {
             failed_ = true;
-            co_return read_error(code);
+            co_return make_transfer_error("read", code);
         }
         // Interim answers carry nothing for the caller.
         if (parser_->get().result_int() >= 200)
@@ -101,7 +109,7 @@
         auto [code, bytes] = co_await beast_http::async_read_some(stream_, buffer_, *parser_, as_tuple);
         if (code && code != beast_http::error::need_buffer) {
             failed_ = true;
-            co_return read_error(code);
+            co_return make_transfer_error("read", code);
         }
         auto const received = part.size() - body.size;
         if (received > 0)
--- a/Libraries/http/upstream_connection.h
+++ b/Libraries/http/upstream_connection.h
@@ -20,7 +20,8 @@
 using response_head = beast_http::response_header<>;
 
 /// A client connection that carries one request after another and reads each answer while it arrives.
-/// One coroutine may send while another one reads.
+/// One coroutine may send while another one reads. The error kind is link_lost if the peer refused or ended the
+/// connection, and deadline_exceeded after a timeout.
 class upstream_connection : public boost::intrusive_ref_counter<upstream_connection> {
 public:
     upstream_connection(boost::asio::any_io_executor executor, boost::asio::ip::tcp::endpoint endpoint);
@@ -47,7 +48,6 @@
     using parser = beast_http::response_parser<beast_http::buffer_body>;
 
     void limit_read(base::milliseconds timeout);
-    base::error read_error(boost::system::error_code code) const;
 
     boost::beast::tcp_stream stream_;
     boost::asio::ip::tcp::endpoint endpoint_;
--- a/Libraries/log/event_kind.cpp
+++ b/Libraries/log/event_kind.cpp
@@ -51,6 +51,7 @@
     {target_removed, 611, info, "target_removed"},
     {target_ignored, 612, warning, "target_ignored"},
     {target_health_changed, 613, warning, "target_health_changed"},
+    {target_crashed, 614, warning, "target_crashed"},
     {crash_recorded, 701, warning, "crash_recorded"},
     {poison_refused, 702, warning, "poison_refused"},
     {caller_input_refused, 801, info, "caller_input_refused"},
--- a/Libraries/log/event_kind.h
+++ b/Libraries/log/event_kind.h
@@ -52,6 +52,7 @@
     target_removed,
     target_ignored,
     target_health_changed,
+    target_crashed,
     crash_recorded,
     poison_refused,
     caller_input_refused,
