--- a/Development/soak/fault_plan.cpp
+++ b/Development/soak/fault_plan.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <array>
-#include <chrono>
 #include <csignal>
 #include <ostream>
 #include <tuple>
@@ -32,11 +31,6 @@
 constexpr std::uint64_t shortest_notice = 1500;
 constexpr std::uint64_t longest_notice = 2100;
 
-std::int64_t unix_now() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 } // namespace
 
 fault_plan::fault_plan(asio::io_context& context, fleet& world, run_ledger& ledger, std::uint64_t seed,
@@ -188,8 +182,7 @@
     co_await pause(500, 2000);
     world_.withdraw(site);
     co_await pause(100, 1000);
-    if (site.target->start(unix_now()))
-        world_.announce(site);
+    world_.restart(site);
 }
 
 asio::awaitable<void> fault_plan::leave_engine() {
@@ -206,8 +199,7 @@
     site.target->crash();
     world_.withdraw(site);
     co_await pause(500, 2500);
-    if (site.target->start(unix_now()))
-        world_.announce(site);
+    world_.restart(site);
 }
 
 asio::awaitable<void> fault_plan::harm_target() {
--- a/Development/soak/fault_proxy.cpp
+++ b/Development/soak/fault_proxy.cpp
@@ -38,19 +38,35 @@
     , acceptor_(context) {}
 
 base::result<void> fault_proxy::listen(std::string const& address) {
-    BOOST_OUTCOME_TRY(auto const endpoint, network::parse_endpoint(address));
+    BOOST_OUTCOME_TRY(address_, network::parse_endpoint(address));
+    return open_acceptor();
+}
+
+base::result<void> fault_proxy::open_acceptor() {
     boost::system::error_code code;
-    acceptor_.open(endpoint.protocol(), code);
+    acceptor_.open(address_.protocol(), code);
     acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address{true}, code);
-    acceptor_.bind(endpoint, code);
+    acceptor_.bind(address_, code);
     if (!code)
         acceptor_.listen(asio::socket_base::max_listen_connections, code);
     if (code)
-        return base::make_error(base::error_kind::io_failed, "proxy at " + address + ": " + code.message());
+        return base::make_error(base::error_kind::io_failed,
+                                "proxy at port " + std::to_string(address_.port()) + ": " + code.message());
     asio::co_spawn(context_, accept(), asio::detached);
     return base::success();
 }
 
+void fault_proxy::stop_listening() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+}
+
+base::result<void> fault_proxy::resume_listening() {
+    if (acceptor_.is_open())
+        return base::success();
+    return open_acceptor();
+}
+
 void fault_proxy::set_mode(proxy_mode mode) {
     mode_ = mode;
     if (mode == proxy_mode::close)
--- a/Development/soak/fault_proxy.h
+++ b/Development/soak/fault_proxy.h
@@ -35,6 +35,9 @@
     fault_proxy(boost::asio::io_context& context, std::string const& server);
 
     base::result<void> listen(std::string const& address);
+    /// Refuses new connections while the server is down, as its own address would.
+    void stop_listening();
+    base::result<void> resume_listening();
     void set_mode(proxy_mode mode);
     /// Closes all connections once. Later ones pass.
     void reset_connections();
@@ -51,6 +54,7 @@
     };
     using link_pointer = boost::intrusive_ptr<link>;
 
+    base::result<void> open_acceptor();
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> open(link_pointer made);
     boost::asio::awaitable<void> pass(link_pointer made, bool from_caller);
@@ -59,6 +63,7 @@
 
     boost::asio::io_context& context_;
     boost::asio::ip::tcp::endpoint server_;
+    boost::asio::ip::tcp::endpoint address_;
     boost::asio::ip::tcp::acceptor acceptor_;
     proxy_mode mode_{proxy_mode::pass};
     boost::intrusive::list<link, boost::intrusive::constant_time_size<false>> links_;
--- a/Development/soak/fleet.cpp
+++ b/Development/soak/fleet.cpp
@@ -2,6 +2,12 @@
 
 #include "support/platform/caller_messages.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -20,6 +26,8 @@
 constexpr std::uint16_t store_port = 18742;
 constexpr std::uint16_t target_port = 18780;
 constexpr std::uint16_t agent_port = 18700;
+// Time from a crash by a request until its target is started again.
+constexpr base::milliseconds restart_delay{1000};
 // The server behind a proxy listens one port further.
 constexpr std::uint16_t behind_proxy = 1;
 
@@ -110,6 +118,8 @@
     BOOST_OUTCOME_TRYV(site->proxy->listen(where.address));
     site->target = std::make_unique<platform::standin::target_standin>(context_, std::move(where), directory_, ledger_,
                                                                        random_.next());
+    site->target->set_crash_handler(
+        [this, crashed = site.get()](std::string const& request) { on_crash(*crashed, !request.empty()); });
     BOOST_OUTCOME_TRYV(site->target->start(unix_now()));
     announce(*site);
     if (engine) {
@@ -167,6 +177,29 @@
     store_.remove_target(site.target->id());
 }
 
+void fleet::on_crash(target_site& site, bool by_request) {
+    site.proxy->stop_listening();
+    site.proxy->reset_connections();
+    if (by_request)
+        boost::asio::co_spawn(context_, restart_later(site), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> fleet::restart_later(target_site& site) {
+    boost::asio::steady_timer timer{context_, restart_delay};
+    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    if (site.target->up())
+        co_return;
+    withdraw(site);
+    restart(site);
+}
+
+void fleet::restart(target_site& site) {
+    if (site.target->up() || !site.proxy->resume_listening())
+        return;
+    if (site.target->start(unix_now()))
+        announce(site);
+}
+
 void fleet::publish_configuration() {
     ++version_;
     std::vector<platform::standin::published_route> routes{
@@ -222,8 +255,7 @@
             site->agent_proxy->set_mode(proxy_mode::pass);
             repair_daemon(site->agent);
         }
-        if (!site->target->up() && site->target->start(unix_now()))
-            announce(*site);
+        restart(*site);
     }
 }
 
--- a/Development/soak/fleet.h
+++ b/Development/soak/fleet.h
@@ -8,6 +8,7 @@
 #include "support/process/program.h"
 #include "support/process/temporary_folder.h"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
@@ -64,6 +65,8 @@
     void check_daemons();
     void announce(target_site& site);
     void withdraw(target_site& site);
+    /// Starts a target that has crashed as a new incarnation and announces it.
+    void restart(target_site& site);
     void publish_configuration();
     std::uint64_t version() const { return version_; }
     void evacuate(std::size_t domain, bool evacuated);
@@ -82,6 +85,8 @@
 private:
     base::result<void> add_entry(std::size_t number, std::vector<std::string> const& seeds);
     base::result<void> add_target(std::size_t number, bool engine);
+    void on_crash(target_site& site, bool by_request);
+    boost::asio::awaitable<void> restart_later(target_site& site);
 
     boost::asio::io_context& context_;
     fleet_size size_;
--- a/Development/soak/run_ledger.cpp
+++ b/Development/soak/run_ledger.cpp
@@ -33,6 +33,7 @@
         return;
     }
     auto& call = found->second;
+    call.resumptions += continued ? 1 : 0;
     if (!continued && ++call.runs > 1 && !call.may_run_again)
         violation("ran twice: " + request + " at " + target.id());
     if (!continued && call.ended && call.end == call_end::refused && !call.may_run_again)
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -23,6 +23,8 @@
 struct call_record {
     bool may_run_again{false};
     std::uint32_t runs{0};
+    /// Runs that went on from the memory of an earlier one.
+    std::uint32_t resumptions{0};
     bool run_complete{false};
     call_end end{call_end::broken};
     bool ended{false};
--- a/Tests/process/operations/operations_test.cpp
+++ b/Tests/process/operations/operations_test.cpp
@@ -1,5 +1,5 @@
+#include "support/platform_process/platform_world.h"
 #include "support/table_test.h"
-#include "world.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -36,13 +36,13 @@
     void causes_are_found() {
         struct row {
             char const* name;
-            void (*cause)(operations_world&);
+            void (*cause)(platform_world&);
             std::vector<std::string> found;
         };
         std::vector<row> const table{
             {"a generation that broke off midway",
-             [](operations_world& world) {
-                 auto caller = std::async(std::launch::async, [&] { return world.call("broken", "/gen/200", 500); });
+             [](platform_world& world) {
+                 auto caller = std::async(std::launch::async, [&] { return world.call({"broken", "/gen/200", 500}); });
                  std::this_thread::sleep_for(1200ms);
                  // The only engine that runs anything.
                  world.act([&] {
@@ -56,30 +56,30 @@
              },
              {"request_placed", "stream_started", "request_failed", "events="}},
             {"a refusal",
-             [](operations_world& world) {
+             [](platform_world& world) {
                  world.act([&] {
                      for (std::size_t domain = 0; domain < soak::fleet::domain_count; ++domain)
                          world.fleet().evacuate(domain, true);
                  });
                  std::this_thread::sleep_for(700ms);
-                 CPPUNIT_ASSERT_EQUAL(503U, world.call("refused", "/gen/10", 500).status);
+                 CPPUNIT_ASSERT_EQUAL(503U, world.call({"refused", "/gen/10", 500}).status);
                  world.act([&] { world.fleet().repair(); });
                  std::this_thread::sleep_for(700ms);
              },
              {"failure_domain_evacuated", "request_refused", "reason=no_target"}},
             {"a plain call with an unknown outcome",
-             [](operations_world& world) {
+             [](platform_world& world) {
                  auto const harm = [&](double lost) {
                      world.act([&] { world.fleet().targets().back()->target->set_faults({lost, 0, 0, 0}); });
                  };
                  harm(1);
-                 CPPUNIT_ASSERT_EQUAL(502U, world.call("unknown", "/order/10").status);
+                 CPPUNIT_ASSERT_EQUAL(502U, world.call({"unknown", "/order/10"}).status);
                  harm(0);
              },
              {"request_placed", "request_failed", "reason=read:", "targets=1"}},
             {"late, but served",
-             [](operations_world& world) {
-                 auto caller = std::async(std::launch::async, [&] { return world.call("late", "/gen/120", 500); });
+             [](platform_world& world) {
+                 auto caller = std::async(std::launch::async, [&] { return world.call({"late", "/gen/120", 500}); });
                  std::this_thread::sleep_for(800ms);
                  world.act([&] {
                      for (auto const& site : world.fleet().targets()) {
@@ -91,7 +91,7 @@
              },
              {"request_placed", "target_leaving", "stream_switched", "request_finished", "switches=1"}},
         };
-        operations_world world;
+        platform_world world{{.entries = 1, .engines = 4, .services = 1}};
         std::vector<std::string> const requests{"broken", "refused", "unknown", "late"};
         for (std::size_t index = 0; index < table.size(); ++index) {
             table[index].cause(world);
--- a/Tests/support/platform/caller_messages.cpp
+++ b/Tests/support/platform/caller_messages.cpp
@@ -21,7 +21,7 @@
         message.set("X-Token-Count", std::to_string(call.prompt_tokens) + "," + std::to_string(call.output_tokens));
         message.set("X-Model", "m");
     }
-    message.body() = "body of " + call.id;
+    message.body() = call.body.empty() ? "body of " + call.id : call.body;
     message.prepare_payload();
     return message;
 }
--- a/Tests/support/platform/caller_messages.h
+++ b/Tests/support/platform/caller_messages.h
@@ -17,6 +17,8 @@
     /// Zero for a plain call.
     std::uint32_t prompt_tokens{0};
     std::uint32_t output_tokens{0};
+    /// Empty for a body that no other request has.
+    std::string body{};
 };
 
 /// The request as a caller of the platform sends it.
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -26,6 +26,8 @@
 constexpr std::uint32_t tokens_per_event = 4;
 constexpr base::milliseconds event_interval{25};
 constexpr base::milliseconds longest_call{25};
+// Time from the start of a run until it crashes the target.
+constexpr base::milliseconds crash_delay{30};
 
 std::string header(http::request const& received, std::string_view name) {
     return std::string{http::header_value(received, name)};
@@ -79,13 +81,33 @@
 }
 
 void target_standin::crash() {
-    if (!up_)
-        return;
+    if (up_)
+        end_incarnation({});
+}
+
+void target_standin::end_incarnation(std::string const& request) {
     up_ = false;
     ++incarnation_;
     runs_.clear();
     copies_.clear();
     servers_.back()->stop_accepting();
+    if (on_crash_)
+        on_crash_(request);
+}
+
+asio::awaitable<bool> target_standin::crash_on(http::session_pointer client, http::request received) {
+    std::string_view const target{received.target().data(), received.target().size()};
+    if (target.find(crashing_path) == std::string_view::npos)
+        co_return false;
+    auto const request = header(received, "X-Request-Id");
+    auto const incarnation = incarnation_;
+    co_await pause(crash_delay);
+    if (incarnation == incarnation_) {
+        observer_.on_request_crash(request, *this);
+        end_incarnation(request);
+    }
+    client->close();
+    co_return true;
 }
 
 void target_standin::leave(base::milliseconds notice) {
@@ -160,6 +182,8 @@
     auto const request = header(received, "X-Request-Id");
     auto const incarnation = incarnation_;
     observer_.on_run(request, *this, false);
+    if (co_await crash_on(client, received))
+        co_return;
     co_await pause(base::milliseconds{1 + random_.below(static_cast<std::uint64_t>(longest_call.count()))});
     if (incarnation != incarnation_ || happens(faults_.lost)) {
         client->close();
@@ -208,6 +232,8 @@
     runs_[request] = {prompt, 0};
     if (auto const backup = directory_.find(header(received, "X-Kv-Backup")); backup != directory_.end())
         backup->second->copies_[request] = request;
+    if (co_await crash_on(client, received))
+        co_return;
     // The session may call this after the end of the coroutine.
     auto const open = std::make_shared<bool>(true);
     client->watch_for_close([open] { *open = false; });
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -7,11 +7,13 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cyclamenledge::platform::standin {
@@ -30,6 +32,8 @@
     virtual void on_run(std::string const& request, target_standin const& target, bool continued) = 0;
     /// The target has made its whole answer.
     virtual void on_run_complete(std::string const& request) = 0;
+    /// The target crashed because it ran the request.
+    virtual void on_request_crash(std::string const& /*request*/, target_standin const& /*target*/) {}
 };
 
 /// Shares of requests that go wrong at a target.
@@ -46,6 +50,9 @@
 /// Targets by the address at which others call them.
 using target_directory = std::map<std::string, target_standin*>;
 
+/// Part of the path of a request that crashes every target that runs it.
+inline constexpr std::string_view crashing_path = "/crash/";
+
 /// An engine or a plain service for tests. A plain answer and each event name their request, so that callers can tell
 /// whose they are.
 class target_standin : public http::request_handler {
@@ -66,6 +73,9 @@
     base::result<void> start(std::int64_t unix_milliseconds);
     /// Every run and copy is lost.
     void crash();
+    /// The handler is called after each crash, with the request that caused it or an empty text.
+    using crash_handler = std::function<void(std::string const& request)>;
+    void set_crash_handler(crash_handler handler) { on_crash_ = std::move(handler); }
     void leave(base::milliseconds notice);
     bool up() const { return up_; }
     bool leaving() const { return leaves_at_.has_value(); }
@@ -85,6 +95,9 @@
     };
 
     boost::asio::awaitable<void> pause(base::milliseconds length);
+    /// Crashes the target if the request is one that crashes every target that runs it. Returns whether it did.
+    boost::asio::awaitable<bool> crash_on(http::session_pointer client, http::request received);
+    void end_incarnation(std::string const& request);
     boost::asio::awaitable<void> run_call(http::session_pointer client, http::request received);
     boost::asio::awaitable<void> run_generation(http::session_pointer client, http::request received);
     boost::asio::awaitable<void> move(http::session_pointer client, http::request received);
@@ -107,6 +120,7 @@
     std::optional<base::time_point> leaves_at_;
     base::time_point link_free_{};
     target_faults faults_;
+    crash_handler on_crash_;
     std::map<std::string, run> runs_;
     /// Copies that others have sent here, by name, with the request that they belong to.
     std::map<std::string, std::string> copies_;
--- a/Tests/support/platform_process/platform_world.cpp
+++ b/Tests/support/platform_process/platform_world.cpp
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "support/platform_process/platform_world.h"
 
 #include "support/platform/caller_messages.h"
 #include "support/process/program.h"
@@ -19,46 +19,49 @@
 
 } // namespace
 
-operations_world::operations_world()
+platform_world::platform_world(soak::fleet_size const& size)
     : work_(boost::asio::make_work_guard(context_)) {
-    soak::fleet_size size;
-    size.entries = 1;
-    size.engines = 4;
-    size.services = 1;
     fleet_ = std::make_unique<soak::fleet>(context_, size, ledger_, random_);
     auto const started = fleet_->start();
     CPPUNIT_ASSERT_MESSAGE(started ? "" : started.error().message, started.has_value());
     thread_ = std::thread{[this] { context_.run(); }};
-    for (int attempt = 0; attempt < 200; ++attempt) {
-        if (call("ready-" + std::to_string(attempt), "/gen/1", 100).status == 200)
-            return;
-        std::this_thread::sleep_for(50ms);
-    }
-    CPPUNIT_FAIL("the entry does not serve: " + fleet_->describe());
+    for (std::size_t entry = 0; entry < size.entries; ++entry)
+        wait_until_serving(entry);
 }
 
-operations_world::~operations_world() {
+platform_world::~platform_world() {
     work_.reset();
     context_.stop();
     thread_.join();
 }
 
-http_answer operations_world::call(std::string const& request, std::string const& path, std::uint32_t prompt_tokens) {
-    act([&] { ledger_.begin_call(request, false); });
-    auto const message = platform::standin::encode_call(
-        {request, soak::caller_host, path, soak::caller_key, deadline_milliseconds, prompt_tokens, 400});
+void platform_world::wait_until_serving(std::size_t entry) {
+    for (int attempt = 0; attempt < 200; ++attempt) {
+        auto const id = "ready-" + std::to_string(next_ready_call_++);
+        if (call({id, "/gen/1", 100, {}, entry, false}).status == 200)
+            return;
+        std::this_thread::sleep_for(50ms);
+    }
+    CPPUNIT_FAIL("entry " + std::to_string(entry) + " does not serve: " + fleet_->describe());
+}
+
+http_answer platform_world::call(caller_request const& request) {
+    act([&] { ledger_.begin_call(request.id, request.may_run_again); });
+    auto const message =
+        platform::standin::encode_call({request.id, soak::caller_host, request.path, soak::caller_key,
+                                        deadline_milliseconds, request.prompt_tokens, 400, request.body});
     http_call sent;
     sent.method = "POST";
-    sent.path = path;
+    sent.path = request.path;
     sent.body = message.body();
     for (auto const& field : message) {
         if (field.name() != boost::beast::http::field::content_length)
             sent.headers.emplace_back(field.name_string(), field.value());
     }
-    return process::call(fleet_->entries().front()->caller_address, sent);
+    return process::call(fleet_->entries().at(request.entry)->caller_address, sent);
 }
 
-std::string operations_world::trace(std::string const& request) {
+std::string platform_world::trace(std::string const& request) {
     // The daemons write their lines a moment after they answer.
     std::this_thread::sleep_for(300ms);
     std::vector<std::string> arguments{"trace", request};
--- a/Tests/support/platform_process/platform_world.h
+++ b/Tests/support/platform_process/platform_world.h
@@ -7,17 +7,32 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <cstdint>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
 
 namespace cyclamenledge::tests::process {
 
-/// One entry, four engines with their agents and one plain service, as real processes with stand-ins of the platform.
-class operations_world {
+/// Entries, engines with their agents and plain services, as real processes with stand-ins of the platform.
+class platform_world {
 public:
-    operations_world();
-    ~operations_world();
+    /// A call as a caller sends it.
+    struct caller_request {
+        std::string id;
+        std::string path;
+        /// Size of the prompt of a generation. Zero for a plain call.
+        std::uint32_t prompt_tokens{0};
+        /// Empty for a body that no other request has.
+        std::string body{};
+        std::size_t entry{0};
+        bool may_run_again{false};
+    };
+
+    /// Waits until each entry serves.
+    explicit platform_world(soak::fleet_size const& size);
+    ~platform_world();
 
     /// Runs the function where the stand-ins run, and waits for it.
     template <class Function>
@@ -28,8 +43,11 @@
         return result.get();
     }
     soak::fleet& fleet() { return *fleet_; }
-    /// Sends a call with the id and waits for its end. A generation reads prompt_tokens first.
-    http_answer call(std::string const& request, std::string const& path, std::uint32_t prompt_tokens = 0);
+    soak::run_ledger& ledger() { return ledger_; }
+    /// Sends a call and waits for its end.
+    http_answer call(caller_request const& request);
+    /// Sends calls to the entry until one is served.
+    void wait_until_serving(std::size_t entry);
     /// What `cyclamenctl trace` prints of the request from the output of all daemons.
     std::string trace(std::string const& request);
 
@@ -40,6 +58,7 @@
     base::random_source random_{7};
     std::unique_ptr<soak::fleet> fleet_;
     std::thread thread_;
+    std::uint64_t next_ready_call_{1};
 };
 
 } // namespace cyclamenledge::tests::process
