Refuse requests that have crashed two targets at every forwarding entry

Cause: nothing connected the attempts. A caller's next attempt has a new id and reaches another entry; the crash table of the product was not used by the forwarding roles, and no entry told another. Within one attempt, a stream went on from its replica after each crash, without a limit. The class of the fault: a bound over all machines and attempts, decided from the state of a single attempt in one process.

Change: the crash detector records a crash for the fingerprint of each request that ran at the target. poison_controller moves to a library of its own and is used by both kinds of entries and by forwarding agents. Entries send records to the entries that they are connected to and to three agents chosen by the fingerprint; agents pass them on; each side sends what it knows to a process that connects. An entry asks the table when a request arrives, before each send, and before a stream goes on from a replica. A request with one crash record waits for the verdict on its target before it is sent again. The answer is 503 with the time until the records expire, since the request has not run and the platform's callers take 422 as no such statement.

So that harmless requests are not refused: runs that overlap count as one crash, because targets that fail together share a cause and many callers may send the same content; targets that announced that they leave do not count; a complete run clears the records, now at the peers as well.

The soak sends two such contents through all entries and checks the bound of the platform's rule.

--- a/Development/soak/caller.cpp
+++ b/Development/soak/caller.cpp
@@ -26,6 +26,7 @@
 constexpr base::milliseconds connect_timeout{1000};
 constexpr std::size_t most_bytes = 1024UL * 1024;
 constexpr base::milliseconds longest_pause{60};
+constexpr std::uint64_t calls_per_crashing_call = 60;
 // An entry in its planned stop and everything around it were undisturbed for this long.
 constexpr base::milliseconds calm_before{4500};
 
@@ -59,9 +60,11 @@
     return std::to_string(number_) + "-" + std::to_string(next_id_++);
 }
 
-asio::awaitable<void> caller::run(bool const& stop) {
+asio::awaitable<void> caller::run(bool const& stop, bool const& may_crash_targets) {
     asio::steady_timer timer{context_};
     while (!stop) {
+        if (may_crash_targets && random_.below(calls_per_crashing_call) == 0)
+            co_await call_crashing();
         auto const choice = random_.below(10);
         co_await call(choice < 2   ? route::generation
                       : choice < 4 ? route::resumable
@@ -97,6 +100,22 @@
                           ": " + request);
 }
 
+asio::awaitable<void> caller::call_crashing() {
+    // Both contents come again and again, from any caller and through any entry.
+    auto const& definition =
+        routes.at(static_cast<std::size_t>(random_.below(2) == 0 ? route::generation : route::order));
+    exchange made;
+    made.entry = random_.below(world_.entries().size());
+    made.request = next_id();
+    made.plain = definition.plain;
+    made.size = 1;
+    made.path = definition.prefix + std::string{"crash/1"};
+    made.body = "crashes targets";
+    auto const request = made.request;
+    ledger_.begin_crashing_call(request, definition.may_run_again, made.path);
+    ledger_.end_call(request, co_await perform(std::move(made)));
+}
+
 http::awaitable_result<http::upstream_pointer> caller::connect(exchange& made) {
     if (auto const kept = std::exchange(kept_[made.entry], nullptr); kept && kept->quiet()) {
         made.kept = true;
@@ -118,7 +137,8 @@
                                            caller_key,
                                            made.plain ? plain_deadline : stream_deadline,
                                            made.plain ? 0U : 400U + static_cast<std::uint32_t>(random_.below(3000)),
-                                           made.plain ? 0U : 600U};
+                                           made.plain ? 0U : 600U,
+                                           made.body};
     auto const message = platform::standin::encode_call(content);
     if (auto const sent = co_await connection.value()->send(message, connect_timeout); !sent) {
         connection.value()->close();
@@ -203,7 +223,7 @@
     ledger_.begin_call(made.request, true);
     unsigned status = 0;
     if (auto const connection = co_await connect(made); connection) {
-        platform::standin::caller_call content{made.request, caller_host, path, caller_key, plain_deadline, 0, 0};
+        platform::standin::caller_call content{made.request, caller_host, path, caller_key, plain_deadline, 0, 0, {}};
         auto const message = platform::standin::encode_call(content);
         auto const wait = base::milliseconds{plain_deadline} + patience;
         if (co_await connection.value()->send(message, connect_timeout)) {
--- a/Development/soak/caller.h
+++ b/Development/soak/caller.h
@@ -20,7 +20,8 @@
     caller(boost::asio::io_context& context, fleet& world, run_ledger& ledger, std::uint64_t number,
            std::uint64_t seed);
 
-    boost::asio::awaitable<void> run(bool const& stop);
+    /// Sends calls until told to stop, and now and then one that crashes targets.
+    boost::asio::awaitable<void> run(bool const& stop, bool const& may_crash_targets);
     /// Asks an entry for the routes of versions that it has shown before.
     boost::asio::awaitable<void> check_configuration(std::size_t entry);
 
@@ -31,12 +32,15 @@
         std::size_t entry{0};
         std::string request;
         std::string path;
+        /// Empty for a body that no other request has.
+        std::string body;
         std::uint64_t size{0};
         bool plain{true};
         bool kept{false};
     };
 
     boost::asio::awaitable<void> call(route kind);
+    boost::asio::awaitable<void> call_crashing();
     boost::asio::awaitable<call_end> perform(exchange made);
     boost::asio::awaitable<call_end> read_plain(http::upstream_pointer connection, exchange made);
     boost::asio::awaitable<call_end> read_stream(http::upstream_pointer connection, exchange made);
--- a/Development/soak/fleet.cpp
+++ b/Development/soak/fleet.cpp
@@ -72,7 +72,7 @@
     }
     publish_configuration();
     std::vector<std::string> seeds;
-    for (std::size_t number = 0; number < std::min<std::size_t>(3, size_.entries); ++number)
+    for (std::size_t number = 0; number < std::min(size_.seeds, size_.entries); ++number)
         seeds.push_back(at(host_ + std::to_string(10 + number), peer_port));
     for (std::size_t number = 0; number < size_.entries; ++number) {
         BOOST_OUTCOME_TRYV(add_entry(number, seeds));
--- a/Development/soak/fleet.h
+++ b/Development/soak/fleet.h
@@ -22,6 +22,8 @@
     std::size_t entries{4};
     std::size_t engines{6};
     std::size_t services{3};
+    /// Entries that the settings of the others name as peers.
+    std::size_t seeds{3};
 };
 
 /// A daemon under test with what it needs to be started again.
--- a/Development/soak/run_ledger.cpp
+++ b/Development/soak/run_ledger.cpp
@@ -10,6 +10,10 @@
 // The bounds that are promised for a target that leaves, and the time in which an undisturbed entry is in touch.
 constexpr base::milliseconds drain_bound{2500};
 constexpr base::milliseconds contact_time{4000};
+// A request that has crashed this many targets reaches others only so many times more, when every entry had the contact
+// time to learn of it.
+constexpr std::size_t crashes_until_refused = 3;
+constexpr std::uint32_t permitted_late_runs = 3;
 
 } // namespace
 
@@ -17,6 +21,11 @@
     calls_[request].may_run_again = may_run_again;
 }
 
+void run_ledger::begin_crashing_call(std::string const& request, bool may_run_again, std::string const& content) {
+    begin_call(request, may_run_again);
+    calls_[request].crashing_content = content;
+}
+
 void run_ledger::end_call(std::string const& request, call_end end) {
     auto& call = calls_[request];
     call.ended = true;
@@ -38,6 +47,7 @@
         violation("ran twice: " + request + " at " + target.id());
     if (!continued && call.ended && call.end == call_end::refused && !call.may_run_again)
         violation("ran after it was refused: " + request + " at " + target.id());
+    check_crashing_run(call, now);
     auto const closed = closed_.find(target.id());
     if (closed != closed_.end() && now > closed->second + drain_bound && calm_since(closed->second - contact_time))
         violation("reached a target that takes nothing: " + request + " at " + target.id());
@@ -47,13 +57,31 @@
     calls_[request].run_complete = true;
 }
 
+void run_ledger::on_request_crash(std::string const& request, platform::standin::target_standin const&) {
+    if (auto const* call = find(request); call != nullptr && !call->crashing_content.empty())
+        record_crash(call->crashing_content, base::clock::now());
+}
+
+void run_ledger::check_crashing_run(call_record const& call, base::time_point now) {
+    auto const found = crashing_.find(call.crashing_content);
+    if (found == crashing_.end() || found->second.crashes.size() < crashes_until_refused)
+        return;
+    auto& content = found->second;
+    bool const late = now > content.crashes[crashes_until_refused - 1] + contact_time;
+    if (late && calm_since(now - contact_time) && ++content.late_runs == permitted_late_runs + 1)
+        violation(call.crashing_content + " reached targets again after it had crashed " +
+                  std::to_string(content.crashes.size()));
+}
+
 void run_ledger::violation(std::string text) {
     violations_.push_back(std::move(text));
 }
 
 std::uint32_t run_ledger::count(call_end end) const {
-    return static_cast<std::uint32_t>(std::ranges::count_if(
-        calls_, [&](auto const& entry) { return entry.second.ended && entry.second.end == end; }));
+    return static_cast<std::uint32_t>(std::ranges::count_if(calls_, [&](auto const& entry) {
+        auto const& call = entry.second;
+        return call.ended && call.end == end && call.crashing_content.empty();
+    }));
 }
 
 call_record const* run_ledger::find(std::string const& request) const {
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -22,6 +22,8 @@
 
 struct call_record {
     bool may_run_again{false};
+    /// Names the content of a request that crashes targets. Empty for others.
+    std::string crashing_content;
     std::uint32_t runs{0};
     /// Runs that went on from the memory of an earlier one.
     std::uint32_t resumptions{0};
@@ -34,9 +36,13 @@
 class run_ledger : public platform::standin::target_observer {
 public:
     void begin_call(std::string const& request, bool may_run_again);
+    /// Begins a call whose content crashes every target that runs it. Such calls are not counted.
+    void begin_crashing_call(std::string const& request, bool may_run_again, std::string const& content);
     void end_call(std::string const& request, call_end end);
     void on_run(std::string const& request, platform::standin::target_standin const& target, bool continued) override;
     void on_run_complete(std::string const& request) override;
+    void on_request_crash(std::string const& request, platform::standin::target_standin const& target) override;
+    void record_crash(std::string const& content, base::time_point at) { crashing_[content].crashes.push_back(at); }
 
     /// A fault that nobody planned is at work.
     void begin_disturbance() { ++disturbances_; }
@@ -57,7 +63,16 @@
     call_record const* find(std::string const& request) const;
 
 private:
+    struct crashing_content {
+        std::vector<base::time_point> crashes;
+        /// Runs that the entries had to prevent.
+        std::uint32_t late_runs{0};
+    };
+
+    void check_crashing_run(call_record const& call, base::time_point now);
+
     std::map<std::string, call_record> calls_;
+    std::map<std::string, crashing_content> crashing_;
     std::map<std::string, base::time_point> closed_;
     std::uint32_t disturbances_{0};
     base::time_point disturbed_until_{};
--- a/Libraries/entry/blackboard.h
+++ b/Libraries/entry/blackboard.h
@@ -4,8 +4,8 @@
 #include "catalogue/catalogue.h"
 #include "entry/attempt.h"
 #include "entry/limit_state.h"
-#include "entry/poison_controller.h"
 #include "once/call_tracker.h"
+#include "poison_control/poison_controller.h"
 #include "retry/hedge_decision.h"
 #include "retry/retry_budget.h"
 #include "routing/target_table.h"
@@ -26,7 +26,7 @@
     base::guarded<catalogue::catalogue_pointer, base::lock_rank::configuration> catalogue;
     base::guarded<routing_state, base::lock_rank::routing> routing;
     guarded_limits limits;
-    guarded_suspects suspects;
+    poison_control::guarded_suspects suspects;
     base::guarded<once::call_tracker, base::lock_rank::keys> calls{once::call_tracker_options{}};
     guarded_attempts attempts;
 };
--- a/Libraries/entry/caller_handler.h
+++ b/Libraries/entry/caller_handler.h
@@ -5,8 +5,8 @@
 #include "entry/blackboard.h"
 #include "entry/caller.h"
 #include "entry/limit_controller.h"
-#include "entry/poison_controller.h"
 #include "http/server.h"
+#include "poison_control/poison_controller.h"
 #include "process/role.h"
 #include "process/runtime.h"
 
@@ -20,7 +20,7 @@
 class caller_handler : public http::request_handler {
 public:
     caller_handler(process::runtime& daemon, blackboard& board, agent_links& links, limit_controller& limits,
-                   poison_controller& poison, process::role& served)
+                   poison_control::poison_controller& poison, process::role& served)
         : daemon_(daemon)
         , board_(board)
         , links_(links)
@@ -56,7 +56,7 @@
     blackboard& board_;
     agent_links& links_;
     limit_controller& limits_;
-    poison_controller& poison_;
+    poison_control::poison_controller& poison_;
     process::role& role_;
     std::atomic<std::uint64_t> next_request_{1};
     // Leaf lock: no other lock is taken while it is held.
--- a/Libraries/entry/entry_role.h
+++ b/Libraries/entry/entry_role.h
@@ -4,8 +4,8 @@
 #include "entry/blackboard.h"
 #include "entry/caller_handler.h"
 #include "entry/limit_controller.h"
-#include "entry/poison_controller.h"
 #include "http/server.h"
+#include "poison_control/poison_controller.h"
 #include "process/operator_handler.h"
 #include "process/role.h"
 #include "process/runtime.h"
@@ -44,7 +44,7 @@
     mutable blackboard board_;
     agent_links links_;
     limit_controller limits_;
-    poison_controller poison_;
+    poison_control::poison_controller poison_;
     caller_handler callers_;
     http::server caller_server_;
     // Only used by on_membership_changed.
--- a/Libraries/entry/generation_session.cpp
+++ b/Libraries/entry/generation_session.cpp
@@ -36,8 +36,9 @@
 } // namespace
 
 generation_session::generation_session(process::runtime& daemon, blackboard& board, agent_links& links,
-                                       poison_controller& poison, caller from, completion_request request,
-                                       std::unique_ptr<completion_writer> writer, asio::any_io_executor executor)
+                                       poison_control::poison_controller& poison, caller from,
+                                       completion_request request, std::unique_ptr<completion_writer> writer,
+                                       asio::any_io_executor executor)
     : daemon_(daemon)
     , board_(board)
     , links_(links)
@@ -293,7 +294,9 @@
     }
     if (message.failed) {
         if (message.crashed_incarnation != 0)
-            poison_.on_crash(fingerprint_, target_, message.crashed_incarnation);
+            poison_.on_crash(
+                {fingerprint_, target_, message.crashed_incarnation, base::milliseconds{0},
+                 std::chrono::duration_cast<base::milliseconds>(base::clock::now() - attempt_started_at_)});
         auto const reason = error_of(message.error, std::move(message.message));
         report(routing::attempt_outcome::failure);
         co_return co_await recover(current, reason, true);
--- a/Libraries/entry/generation_session.h
+++ b/Libraries/entry/generation_session.h
@@ -6,6 +6,7 @@
 #include "entry/caller.h"
 #include "entry/completion_request.h"
 #include "entry/completion_writer.h"
+#include "poison_control/poison_controller.h"
 #include "process/runtime.h"
 #include "stream/token_sequencer.h"
 
@@ -21,9 +22,9 @@
 /// Leads one generation from a caller's request to its end over as many attempts as it may take.
 class generation_session {
 public:
-    generation_session(process::runtime& daemon, blackboard& board, agent_links& links, poison_controller& poison,
-                       caller from, completion_request request, std::unique_ptr<completion_writer> writer,
-                       boost::asio::any_io_executor executor);
+    generation_session(process::runtime& daemon, blackboard& board, agent_links& links,
+                       poison_control::poison_controller& poison, caller from, completion_request request,
+                       std::unique_ptr<completion_writer> writer, boost::asio::any_io_executor executor);
 
     boost::asio::awaitable<void> run();
     /// Called on the session's executor when the caller has closed its connection.
@@ -60,7 +61,7 @@
     process::runtime& daemon_;
     blackboard& board_;
     agent_links& links_;
-    poison_controller& poison_;
+    poison_control::poison_controller& poison_;
     caller caller_;
     completion_request request_;
     std::unique_ptr<completion_writer> writer_;
--- a/Libraries/forwarding/attempt_policy.cpp
+++ b/Libraries/forwarding/attempt_policy.cpp
@@ -3,6 +3,8 @@
 namespace cyclamenledge::forwarding {
 
 repetition may_repeat(attempt_facts const& facts) {
+    if (facts.crashes_targets)
+        return repetition::none;
     bool const another_run_allowed = facts.may_run_again && facts.runs < facts.maximum_runs;
     if (facts.runs > 0 && !another_run_allowed)
         return repetition::none;
--- a/Libraries/forwarding/attempt_policy.h
+++ b/Libraries/forwarding/attempt_policy.h
@@ -28,6 +28,8 @@
     std::uint32_t maximum_runs{1};
     /// Targets to which no byte of the request could be sent.
     std::uint32_t unsent{0};
+    /// Targets crashed while they ran requests with the same content, so no further target may receive it.
+    bool crashes_targets{false};
 };
 
 enum class repetition : std::uint8_t {
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -48,6 +48,10 @@
            memory <= insignificant_memory_share * sent.total_tokens && std::chrono::abs(wait) <= insignificant_wait;
 }
 
+std::vector<link::connection_pointer> connected_entries(link::hub const& hub, std::uint64_t) {
+    return hub.ready_connections();
+}
+
 } // namespace
 
 base::result<std::unique_ptr<forwarding_agent_role>> forwarding_agent_role::create(process::runtime& daemon) {
@@ -58,12 +62,14 @@
 forwarding_agent_role::forwarding_agent_role(process::runtime& daemon, asio::ip::tcp::endpoint target)
     : daemon_(daemon)
     , target_(std::move(target))
+    , crash_notices_(daemon, suspects_, &connected_entries)
     , operators_(daemon, *this)
     , operator_server_(daemon.context(), {}, operators_) {}
 
 base::result<void> forwarding_agent_role::start() {
     auto& hub = daemon_.hub();
     hub.add_observer(*this);
+    crash_notices_.start();
     hub.handle<wire::schema::LinkTurnRequestT>(
         [this](link::connection& entry, wire::schema::LinkTurnRequestT const& slot_request) {
             copy_queue_.add({entry.number(), slot_request.request, slot_request.tokens,
@@ -223,6 +229,7 @@
         dump["granted"] = ledger_.size();
         dump["total_tokens"] = report.total_tokens;
     }
+    dump["poison"] = crash_notices_.state();
     return dump;
 }
 
--- a/Libraries/forwarding_agent/forwarding_agent_role.h
+++ b/Libraries/forwarding_agent/forwarding_agent_role.h
@@ -6,6 +6,7 @@
 #include "http/server.h"
 #include "http/upstream_connection.h"
 #include "link/hub_observer.h"
+#include "poison_control/poison_controller.h"
 #include "process/operator_handler.h"
 #include "process/role.h"
 #include "process/runtime.h"
@@ -20,7 +21,8 @@
 namespace cyclamenledge::forwarding_agent {
 
 /// Runs beside one engine. Reads the engine's report many times a second and sends it to every connected entry, grants
-/// reservations of the engine's memory and slots, and grants copy slots on the engine's link while the engine leaves.
+/// reservations of the engine's memory and slots, grants copy slots on the engine's link while the engine leaves, and
+/// passes crash notices on between entries.
 /// No request passes through it: without it, entries only lack current reports, reservations and copy slots.
 class forwarding_agent_role : public process::role, private link::hub_observer {
 public:
@@ -60,6 +62,8 @@
     forwarding::reservation_ledger ledger_;
     forwarding::copy_queue copy_queue_;
     std::map<std::uint64_t, link::connection_pointer> entries_;
+    poison_control::guarded_suspects suspects_;
+    poison_control::poison_controller crash_notices_;
     process::operator_handler operators_;
     http::server operator_server_;
 };
--- a/Libraries/forwarding_entry/answers.cpp
+++ b/Libraries/forwarding_entry/answers.cpp
@@ -24,8 +24,14 @@
 
 } // namespace
 
+base::error make_poison_refusal(base::milliseconds time_to_expiry) {
+    return base::make_error(base::error_kind::poison_request,
+                            "targets crashed while they ran requests with this content", time_to_expiry);
+}
+
 http::response make_error_answer(base::error const& failure) {
     auto answer = http::make_error_response(failure);
+    answer.result(platform::status_for_caller(failure.kind));
     if (failure.retry_after) {
         std::ostringstream seconds;
         seconds << std::fixed << std::setprecision(2)
--- a/Libraries/forwarding_entry/blackboard.h
+++ b/Libraries/forwarding_entry/blackboard.h
@@ -5,6 +5,7 @@
 #include "forwarding/publication_table.h"
 #include "forwarding/request_queue.h"
 #include "forwarding/route_set.h"
+#include "poison_control/poison_controller.h"
 
 #include <map>
 #include <string>
@@ -26,6 +27,7 @@
     forwarding::request_queue queue;
     forwarding::retry_bound retry_bound;
     std::map<std::string, forwarding::local_retry_budget, std::less<>> retry_budgets;
+    poison_control::guarded_suspects suspects;
 
     forwarding::local_retry_budget& retry_budget(std::string const& service) {
         return retry_budgets.try_emplace(service, retry_bound).first->second;
--- a/Libraries/forwarding_entry/crash_detector.cpp
+++ b/Libraries/forwarding_entry/crash_detector.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <array>
@@ -27,28 +26,41 @@
 
 } // namespace
 
-void crash_detector::examine(std::string const& target, lost_run run) {
-    auto const [found, inserted] = examinations_.try_emplace(target);
-    found->second.push_back(std::move(run));
+asio::awaitable<void> crash_detector::examine(std::string target, lost_run run) {
+    auto const fingerprint = run.fingerprint;
+    auto const [found, inserted] = examinations_.try_emplace(target, context_);
+    auto& examined = found->second;
+    examined.runs.push_back(std::move(run));
     if (inserted)
         asio::co_spawn(context_, conclude(target), asio::detached);
+    if (suspects_.suspects(fingerprint))
+        co_await examined.verdict.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
 asio::awaitable<void> crash_detector::conclude(std::string target) {
     auto const* view = board_.fleet.find(target);
+    auto const incarnation = view == nullptr ? 0 : static_cast<std::uint64_t>(view->record.started_at);
     bool crashed = false;
     // A target that has announced its end closes its connections as planned.
     if (view != nullptr && !view->leaving(base::clock::now())) {
         crashed = co_await refuses_connections(target);
-        if (!crashed)
+        if (!crashed) {
+            examinations_.at(target).verdict.expires_at(base::clock::now());
             crashed = co_await was_replaced(target);
+        }
     }
+    // The end of the node resumes the requests that wait for the verdict, after the crash is recorded.
     auto const concluded = examinations_.extract(target);
     if (!crashed)
         co_return;
-    for (auto const& run : concluded.mapped())
+    auto const now = base::clock::now();
+    for (auto const& run : concluded.mapped().runs) {
         log::write(log::event_kind::target_crashed,
                    {{"request", run.request}, {"fingerprint", run.fingerprint}, {"target", target}});
+        suspects_.on_crash({run.fingerprint, target, incarnation,
+                            std::chrono::duration_cast<base::milliseconds>(now - run.lost_at),
+                            std::chrono::duration_cast<base::milliseconds>(run.lost_at - run.sent_at)});
+    }
 }
 
 asio::awaitable<bool> crash_detector::refuses_connections(std::string const& target) {
--- a/Libraries/forwarding_entry/crash_detector.h
+++ b/Libraries/forwarding_entry/crash_detector.h
@@ -2,9 +2,11 @@
 
 #include "base/time.h"
 #include "forwarding_entry/blackboard.h"
+#include "poison_control/poison_controller.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <map>
@@ -18,29 +20,42 @@
     std::string request;
     std::uint64_t fingerprint{0};
     base::time_point sent_at{};
+    base::time_point lost_at{};
 };
 
-/// Tells crashes of targets from connections that only broke, and logs a crash for each request that ran there. A
+/// Tells crashes of targets from connections that only broke, and records a crash for each request that ran there. A
 /// target has crashed if its address refuses connections or belongs to another incarnation, and it had not announced
 /// that it leaves.
 class crash_detector {
 public:
-    crash_detector(boost::asio::io_context& context, blackboard const& board)
+    crash_detector(boost::asio::io_context& context, blackboard const& board,
+                   poison_control::poison_controller& suspects)
         : context_(context)
-        , board_(board) {}
+        , board_(board)
+        , suspects_(suspects) {}
 
-    /// Examines the target.
-    void examine(std::string const& target, lost_run run);
+    /// Examines the target. Waits for the verdict if the request has a crash record already, because a second one
+    /// decides whether the request may be sent again; otherwise returns at once.
+    boost::asio::awaitable<void> examine(std::string target, lost_run run);
 
 private:
+    struct examination {
+        explicit examination(boost::asio::io_context& context)
+            : verdict(context, base::time_point::max()) {}
+        std::vector<lost_run> runs;
+        /// Expires when it is known whether the target refuses connections.
+        boost::asio::steady_timer verdict;
+    };
+
     boost::asio::awaitable<void> conclude(std::string target);
     boost::asio::awaitable<bool> refuses_connections(std::string const& target);
     boost::asio::awaitable<bool> was_replaced(std::string const& target);
 
     boost::asio::io_context& context_;
     blackboard const& board_;
+    poison_control::poison_controller& suspects_;
     /// By target, so that requests lost together cause one examination.
-    std::map<std::string, std::vector<lost_run>> examinations_;
+    std::map<std::string, examination> examinations_;
 };
 
 } // namespace cyclamenledge::forwarding_entry
--- a/Libraries/forwarding_entry/entry_parts.h
+++ b/Libraries/forwarding_entry/entry_parts.h
@@ -24,6 +24,7 @@
     copy_slot_client& copy_slots;
     reservation_client& reservations;
     stream_registry& streams;
+    poison_control::poison_controller& suspects;
     crash_detector& crashes;
     metrics::registry& metrics;
     base::random_source& random;
--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -1,5 +1,6 @@
 #include "forwarding_entry/forwarding_entry_role.h"
 
+#include "forwarding_entry/crash_notice_recipients.h"
 #include "log/logger.h"
 #include "network/endpoint.h"
 
@@ -68,17 +69,19 @@
     , placements_(daemon.context(), board_, reservations_)
     , connections_(daemon.context().get_executor())
     , copy_slots_(daemon.context(), daemon.hub(), agent_directory_)
-    , crashes_(daemon.context(), board_)
+    , suspects_(daemon, board_.suspects, &crash_notice_recipients)
+    , crashes_(daemon.context(), board_, suspects_)
     , agents_(daemon.hub(), board_, agent_directory_,
               static_cast<std::uint16_t>(daemon.settings().forwarding.agent_port))
-    , parts_{daemon.context(), board_,   placements_, connections_,     copy_slots_,
-             reservations_,    streams_, crashes_,    daemon.metrics(), random_}
+    , parts_{daemon.context(), board_,    placements_, connections_,     copy_slots_, reservations_,
+             streams_,         suspects_, crashes_,    daemon.metrics(), random_}
     , forwarder_(daemon, parts_, [this] { return store_.is_current(base::clock::now()); })
     , operators_(daemon, *this)
     , readiness_(daemon, *this)
     , caller_server_(daemon.context(), make_server_limits(daemon.settings().limits, {}), forwarder_)
     , readiness_server_(daemon.context(), {}, readiness_)
     , operator_server_(daemon.context(), {}, operators_) {
+    suspects_.start();
     store_.set_relays(peers_.relays());
     publications_.set_observer([this] { on_targets_change(); });
     agents_.set_observer([this] {
@@ -146,6 +149,7 @@
     dump["waiting"] = board_.queue.size();
     dump["streams"] = streams_.size();
     dump["idle_connections"] = connections_.idle_count();
+    dump["poison"] = suspects_.state();
     boost::json::array targets;
     for (auto const& [id, target] : board_.fleet.targets()) {
         boost::json::object item{{"id", id},
--- a/Libraries/forwarding_entry/forwarding_entry_role.h
+++ b/Libraries/forwarding_entry/forwarding_entry_role.h
@@ -59,6 +59,7 @@
     target_connections connections_;
     copy_slot_client copy_slots_;
     stream_registry streams_;
+    poison_control::poison_controller suspects_;
     crash_detector crashes_;
     agent_controller agents_;
     entry_parts parts_;
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -71,6 +71,7 @@
     auto const now = base::clock::now();
     if (caller_left_ || now >= request_.deadline)
         return false;
+    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.fingerprint);
     auto const allowed = forwarding::may_repeat(make_attempt_facts(last));
     if (allowed == forwarding::repetition::none)
         return false;
@@ -89,7 +90,8 @@
             request_.may_run_again(),
             possible_runs_,
             request_.route->maximum_attempts,
-            unsent_attempts_};
+            unsent_attempts_,
+            crashes_targets_};
 }
 
 asio::awaitable<http::response> plain_exchange::run_attempts() {
@@ -125,6 +127,8 @@
     if (!caller_left_)
         log::write(log::event_kind::request_failed,
                    {{"request", request_.caller.id}, {"reason", last.reason}, {"targets", tried_targets_.size()}});
+    if (conclusion == forwarding::final_answer::refuse && crashes_targets_)
+        return make_error_answer(make_poison_refusal(parts_.suspects.time_to_expiry(request_.fingerprint)));
     if (conclusion == forwarding::final_answer::refuse)
         return make_error_answer(
             base::make_error(base::error_kind::overloaded, "no target took the request", retry_delay));
@@ -154,6 +158,11 @@
         parts_.connections.release(address, connected.value(), {});
         co_return send_result{send_outcome::not_sent, still_allowed ? "deadline" : "target_leaving", {}};
     }
+    if (parts_.suspects.refuses(request_.fingerprint)) {
+        parts_.connections.release(address, connected.value(), {});
+        crashes_targets_ = true;
+        co_return send_result{send_outcome::not_sent, std::string{base::name_of(base::error_kind::poison_request)}, {}};
+    }
     connection_ = connected.value();
     platform::forwarded_context context;
     context.time_left = request_.time_left(base::clock::now());
@@ -169,8 +178,13 @@
     connection_.reset();
     if (result.may_have_run())
         ++possible_runs_;
-    if (result.connection_lost && !caller_left_)
-        parts_.crashes.examine(target, {request_.caller.id, request_.fingerprint, sent_at});
+    if (result.connection_lost && !caller_left_) {
+        // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
+        lost_run lost{request_.caller.id, request_.fingerprint, sent_at, base::clock::now()};
+        co_await parts_.crashes.examine(target, std::move(lost));
+    }
+    if (result.outcome == send_outcome::answered && !result.server_error())
+        parts_.suspects.on_success(request_.fingerprint);
     using enum forwarding::target_outcome;
     if (!caller_left_ && result.may_have_run())
         parts_.placements.record_outcome(
--- a/Libraries/forwarding_entry/plain_exchange.h
+++ b/Libraries/forwarding_entry/plain_exchange.h
@@ -41,6 +41,8 @@
     std::vector<std::string> tried_targets_;
     std::uint32_t possible_runs_{0};
     std::uint32_t unsent_attempts_{0};
+    /// Targets crashed while they ran requests with the same content.
+    bool crashes_targets_{false};
     bool caller_left_{false};
 };
 
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -184,9 +184,14 @@
         ++possible_runs_;
     if (result.outcome == send_outcome::not_sent)
         ++unsent_attempts_;
-    if (result.connection_lost && !current->cancelled && !caller_left_)
-        parts_.crashes.examine(current->target, {request_.caller.id, request_.fingerprint, current->sent_at});
+    if (result.connection_lost && !current->cancelled && !caller_left_) {
+        // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
+        lost_run lost{request_.caller.id, request_.fingerprint, current->sent_at, base::clock::now()};
+        co_await parts_.crashes.examine(current->target, std::move(lost));
+    }
     bool const succeeded = result.outcome == send_outcome::answered && !result.server_error();
+    if (succeeded)
+        parts_.suspects.on_success(request_.fingerprint);
     using enum forwarding::target_outcome;
     // The end of a run at a leaving target is expected and does not count against the target's health.
     auto const* view = parts_.board.fleet.find(current->target);
@@ -214,6 +219,11 @@
         parts_.connections.release(current->address, connected.value(), {});
         co_return send_result{send_outcome::not_sent, "no longer wanted", {}};
     }
+    if (parts_.suspects.refuses(request_.fingerprint)) {
+        parts_.connections.release(current->address, connected.value(), {});
+        crashes_targets_ = true;
+        co_return send_result{send_outcome::not_sent, std::string{base::name_of(base::error_kind::poison_request)}, {}};
+    }
     current->connection = connected.value();
     current->context.time_left = left;
     current->sent = true;
@@ -369,7 +379,8 @@
 
 void stream_exchange::recover(stream_run& ended, send_result result) {
     auto const now = base::clock::now();
-    if (result.may_have_run() && resume_from_backup(ended))
+    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.fingerprint);
+    if (!crashes_targets_ && result.may_have_run() && resume_from_backup(ended))
         return;
     // The request may have run at an earlier target even if the refusal of a successor states that it has not run.
     forwarding::attempt_facts const facts{result.outcome,
@@ -377,7 +388,8 @@
                                           request_.may_run_again(),
                                           possible_runs_,
                                           request_.route->maximum_attempts,
-                                          unsent_attempts_};
+                                          unsent_attempts_,
+                                          crashes_targets_};
     bool const passed = relay_.passed_any();
     auto const allowed = forwarding::may_repeat(facts);
     if (allowed == forwarding::repetition::free ||
@@ -395,6 +407,10 @@
         phase_ = phase::answered;
         return;
     }
+    if (conclusion == forwarding::final_answer::refuse && crashes_targets_) {
+        fail(make_poison_refusal(parts_.suspects.time_to_expiry(request_.fingerprint)), result.reason);
+        return;
+    }
     if (conclusion == forwarding::final_answer::refuse) {
         fail(base::make_error(base::error_kind::overloaded, "no target took the request", base::milliseconds{500}),
              result.reason);
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -106,6 +106,8 @@
     base::milliseconds longest_gap_{};
     std::uint32_t takeovers_{0};
     bool moving_{false};
+    /// Targets crashed while they ran requests with the same content.
+    bool crashes_targets_{false};
     bool caller_left_{false};
 };
 
--- a/Libraries/poison/crash_suspects.cpp
+++ b/Libraries/poison/crash_suspects.cpp
@@ -24,12 +24,12 @@
     // Each target counts once, with its newest crash. Taking the maximum makes the merge independent of the order.
     bool const is_new =
         existing == crash_records.end() || (existing->incarnation != notice.incarnation && at > existing->at);
-    if (existing == crash_records.end()) {
-        crash_records.push_back({notice.target, notice.incarnation, at});
-    } else if (std::tie(at, notice.incarnation) > std::tie(existing->at, existing->incarnation)) {
-        existing->incarnation = notice.incarnation;
-        existing->at = at;
-    }
+    auto const run_started = at - std::max(notice.ran_for, base::milliseconds{0});
+    if (existing == crash_records.end())
+        crash_records.push_back({notice.target, notice.incarnation, at, run_started});
+    else if (std::tie(at, notice.incarnation, run_started) >
+             std::tie(existing->at, existing->incarnation, existing->run_started))
+        *existing = {notice.target, notice.incarnation, at, run_started};
     if (crash_records.size() > options_.maximum_crash_records)
         crash_records.erase(std::min_element(
             crash_records.begin(), crash_records.end(), [](crash_record const& left, crash_record const& right) {
@@ -40,25 +40,65 @@
     return is_new;
 }
 
-void crash_suspects::on_success(std::uint64_t fingerprint, base::time_point now) {
+bool crash_suspects::clear(suspect& cleared, base::time_point at) {
+    cleared.cleared = std::max(cleared.cleared, at);
+    return std::erase_if(cleared.crash_records, [at](crash_record const& record) { return record.at <= at; }) > 0;
+}
+
+bool crash_suspects::on_success(std::uint64_t fingerprint, base::time_point now) {
     auto const found = by_fingerprint_.find(fingerprint);
     if (found == by_fingerprint_.end())
-        return;
+        return false;
     // The suspect without crash records is kept until it expires, so that a late copy of a cleared notice does not
     // count.
-    found->second->crash_records.clear();
-    found->second->cleared = now;
+    bool const any_cleared = clear(*found->second, now);
     update_newest(found->second, now);
+    return any_cleared;
+}
+
+bool crash_suspects::on_peer_success(std::uint64_t fingerprint, base::milliseconds age, base::time_point now) {
+    auto const at = now - std::max(age, base::milliseconds{0});
+    if (expired(at, now))
+        return false;
+    auto const found = find_or_insert(fingerprint, at);
+    bool const any_cleared = clear(*found, at);
+    update_newest(found, std::max(found->newest, at));
+    evict_oldest();
+    return any_cleared;
+}
+
+std::size_t crash_suspects::count_separate_crashes(suspect const& counted, base::time_point now) const {
+    auto records = counted.crash_records;
+    std::erase_if(records, [this, now](crash_record const& record) { return expired(record.at, now); });
+    std::ranges::sort(records, {}, &crash_record::at);
+    std::size_t count = 0;
+    auto last_crash = base::time_point::min();
+    for (auto const& record : records) {
+        if (record.run_started < last_crash)
+            continue;
+        ++count;
+        last_crash = record.at;
+    }
+    return count;
+}
+
+bool crash_suspects::suspects(std::uint64_t fingerprint, base::time_point now) const {
+    auto const found = by_fingerprint_.find(fingerprint);
+    return found != by_fingerprint_.end() && count_separate_crashes(*found->second, now) > 0;
 }
 
 bool crash_suspects::refuses(std::uint64_t fingerprint, base::time_point now) const {
     auto const found = by_fingerprint_.find(fingerprint);
-    if (found == by_fingerprint_.end())
-        return false;
-    auto const& crash_records = found->second->crash_records;
-    auto const count = std::count_if(crash_records.begin(), crash_records.end(),
-                                     [this, now](crash_record const& record) { return !expired(record.at, now); });
-    return static_cast<std::size_t>(count) >= options_.targets_to_refuse;
+    return found != by_fingerprint_.end() && count_separate_crashes(*found->second, now) >= options_.targets_to_refuse;
+}
+
+base::milliseconds crash_suspects::time_to_expiry(std::uint64_t fingerprint, base::time_point now) const {
+    auto const found = by_fingerprint_.find(fingerprint);
+    if (found == by_fingerprint_.end() || found->second->crash_records.empty())
+        return base::milliseconds{0};
+    auto const newest = std::ranges::max_element(found->second->crash_records, {}, &crash_record::at)->at;
+    return std::max(base::milliseconds{0},
+                    std::chrono::duration_cast<base::milliseconds>(newest + options_.crash_record_lifetime - now));
 }
 
 std::vector<crash_notice> crash_suspects::notices(base::time_point now) const {
@@ -67,7 +107,8 @@
         for (auto const& record : item.crash_records) {
             if (!expired(record.at, now))
                 notices.push_back({item.fingerprint, record.target, record.incarnation,
-                                   std::chrono::duration_cast<base::milliseconds>(now - record.at)});
+                                   std::chrono::duration_cast<base::milliseconds>(now - record.at),
+                                   std::chrono::duration_cast<base::milliseconds>(record.at - record.run_started)});
         }
     }
     return notices;
--- a/Libraries/poison/crash_suspects.h
+++ b/Libraries/poison/crash_suspects.h
@@ -19,6 +19,8 @@
     std::uint64_t incarnation{0};
     /// Time from the crash to the sending of the notice. An age is sent because clocks of processes are not compared.
     base::milliseconds age{0};
+    /// Time for which the request had run when the target crashed.
+    base::milliseconds ran_for{0};
 };
 
 struct crash_suspects_options {
@@ -29,7 +31,9 @@
 };
 
 /// Fingerprints of requests that were running on targets when these crashed. Requests with crash records on enough
-/// different targets are refused. When the table is full, the fingerprint with the least recent event is evicted.
+/// different targets, one run after the other, are refused: runs that overlap may share one cause, such as the loss of
+/// a failure domain, and many callers may send the same harmless request. When the table is full, the fingerprint with
+/// the least recent event is evicted.
 class crash_suspects {
 public:
     explicit crash_suspects(crash_suspects_options options = {});
@@ -39,10 +43,17 @@
     /// notices.
     bool on_crash(crash_notice const& notice, base::time_point now);
     /// Clears the crash records of a fingerprint that ran to completion. Earlier crashes no longer count, even if a
-    /// peer reports them again.
-    void on_success(std::uint64_t fingerprint, base::time_point now);
+    /// peer reports them again. Returns whether there were any; the caller then tells the peers.
+    bool on_success(std::uint64_t fingerprint, base::time_point now);
+    /// Merges a success that a peer reported, also when it arrives before the crashes that it clears. Returns whether
+    /// it cleared any.
+    bool on_peer_success(std::uint64_t fingerprint, base::milliseconds age, base::time_point now);
+    /// Whether the fingerprint has a crash record.
+    bool suspects(std::uint64_t fingerprint, base::time_point now) const;
     /// Whether requests with the fingerprint are refused.
     bool refuses(std::uint64_t fingerprint, base::time_point now) const;
+    /// Time until the fingerprint's newest crash record expires. Zero without one.
+    base::milliseconds time_to_expiry(std::uint64_t fingerprint, base::time_point now) const;
     /// Returns all current crash records, to be sent to a peer that connects.
     std::vector<crash_notice> notices(base::time_point now) const;
     void expire(base::time_point now);
@@ -53,6 +64,7 @@
         std::string target;
         std::uint64_t incarnation{0};
         base::time_point at{};
+        base::time_point run_started{};
     };
     struct suspect {
         std::uint64_t fingerprint{0};
@@ -64,6 +76,10 @@
     using suspect_list = std::list<suspect>;
 
     bool expired(base::time_point at, base::time_point now) const { return now - at > options_.crash_record_lifetime; }
+    /// Number of runs that crashed their target, counting only one of those that overlap.
+    std::size_t count_separate_crashes(suspect const& counted, base::time_point now) const;
+    /// Returns whether there were crash records up to that time.
+    static bool clear(suspect& cleared, base::time_point at);
     suspect_list::iterator find_or_insert(std::uint64_t fingerprint, base::time_point at);
     /// Sets the time of the newest event and moves the element to its position in the list.
     void update_newest(suspect_list::iterator updated, base::time_point at);
--- a/Tests/forwarding/attempt_test.cpp
+++ b/Tests/forwarding/attempt_test.cpp
@@ -52,6 +52,19 @@
             {"unreachable", {not_sent, false, false, 0, 1, 1}, repetition::free, final_answer::refuse},
             {"all unreachable", {not_sent, false, false, 0, 1, 4}, repetition::none, final_answer::refuse},
             {"unreachable after a lost read", {not_sent, false, true, 1, 2, 1}, repetition::free, final_answer::fail},
+            // A request that crashed targets was sent to one target after the other.
+            {"lost read that crashes targets",
+             {unknown, false, true, 1, 2, 0, true},
+             repetition::none,
+             final_answer::fail},
+            {"unsent order that crashes targets",
+             {not_sent, false, false, 0, 1, 1, true},
+             repetition::none,
+             final_answer::refuse},
+            {"refused read that crashes targets",
+             {not_run, true, true, 0, 2, 0, true},
+             repetition::none,
+             final_answer::pass_on},
         };
         for_each_row(table, [](row const& tested) {
             CPPUNIT_ASSERT(may_repeat(tested.facts) == tested.again);
--- a/Tests/poison/crash_suspects_test.cpp
+++ b/Tests/poison/crash_suspects_test.cpp
@@ -19,15 +19,15 @@
 
 constexpr base::time_point start{base::seconds{100'000}};
 
-/// Events of one fingerprint: a letter is a crash on the target of that name, `+` is a success, `.` advances the time
-/// by 6 minutes.
+/// Events of one fingerprint: a letter is a crash on the target of that name, a capital letter one of a run that had
+/// started before the earlier crashes, `+` is a success, `-` a success at a peer, `.` advances the time by 6 minutes.
 struct crash_row {
     char const* name;
     char const* events;
     bool refuses;
 };
 
-constexpr std::array<crash_row, 8> crash_rows{{
+constexpr std::array<crash_row, 13> crash_rows{{
     {"no crash", "", false},
     {"one target twice", "aa", false},
     {"two targets", "ab", true},
@@ -36,13 +36,18 @@
     {"two crashes after a success", "a+bc", true},
     {"both strikes within the lifetime", "a.b", true},
     {"the first strike expires", "a.b.", false},
+    {"targets that crashed at the same time", "aBCD", false},
+    {"a run after targets that crashed at the same time", "aBCd", true},
+    {"a success at a peer clears", "ab-", false},
+    {"one crash after a success at a peer", "a-b", false},
+    {"two crashes after a success at a peer", "a-bc", true},
 }};
 
 std::vector<crash_notice> random_notices() {
     std::vector<crash_notice> notices;
     for (auto const number : *rc::gen::container<std::vector<std::uint16_t>>(rc::gen::arbitrary<std::uint16_t>()))
         notices.push_back({number % 3U, std::string(1, static_cast<char>('a' + number / 3 % 6)), number / 18U % 2U,
-                           base::milliseconds{number % 700U * 1000U}});
+                           base::milliseconds{number % 700U * 1000U}, base::milliseconds{number % 5U * 1000U}});
     return notices;
 }
 
@@ -53,7 +58,7 @@
     std::vector<std::string> state;
     for (auto const& known : suspects.notices(start))
         state.push_back(std::to_string(known.fingerprint) + known.target + std::to_string(known.incarnation) + "@" +
-                        std::to_string(known.age.count()));
+                        std::to_string(known.age.count()) + "+" + std::to_string(known.ran_for.count()));
     std::sort(state.begin(), state.end());
     return state;
 }
@@ -65,6 +70,8 @@
     CPPUNIT_TEST(crash_count_decides);
     CPPUNIT_TEST(merge_ignores_order_and_repetition);
     CPPUNIT_TEST(late_copy_of_a_cleared_notice_is_ignored);
+    CPPUNIT_TEST(success_at_a_peer_clears_crashes_that_arrive_later);
+    CPPUNIT_TEST(refusal_names_the_time_of_its_end);
     CPPUNIT_TEST(oldest_fingerprint_is_evicted);
     CPPUNIT_TEST_SUITE_END();
 
@@ -76,10 +83,15 @@
             auto now = start;
             for (char const event : std::string(row.events)) {
                 now += event == '.' ? base::seconds{360} : base::seconds{1};
+                bool const overlaps = event >= 'A' && event <= 'Z';
                 if (event == '+')
                     suspects.on_success(7, now);
+                else if (event == '-')
+                    suspects.on_peer_success(7, base::milliseconds{0}, now);
                 else if (event != '.')
-                    suspects.on_crash({7, std::string(1, event), 1, base::milliseconds{0}}, now);
+                    suspects.on_crash({7, std::string(1, event), 1, base::milliseconds{0},
+                                       overlaps ? base::milliseconds{60'000} : base::milliseconds{0}},
+                                      now);
             }
             CPPUNIT_ASSERT_EQUAL(row.refuses, suspects.refuses(7, now));
         });
@@ -107,6 +119,31 @@
         CPPUNIT_ASSERT(suspects.notices(start + base::seconds{9}).empty());
     }
 
+    // Guards against refusing a harmless request because notices took different ways and the success arrived first.
+    void success_at_a_peer_clears_crashes_that_arrive_later() {
+        crash_suspects suspects;
+        CPPUNIT_ASSERT(!suspects.on_peer_success(7, base::milliseconds{100}, start));
+        CPPUNIT_ASSERT(!suspects.on_crash({7, "a", 1, base::milliseconds{200}}, start));
+        CPPUNIT_ASSERT(!suspects.suspects(7, start));
+        CPPUNIT_ASSERT(suspects.on_crash({7, "b", 1, base::milliseconds{50}}, start));
+        CPPUNIT_ASSERT(suspects.suspects(7, start));
+        // Only a success that clears a crash is passed on, so that two peers do not send it back and forth.
+        CPPUNIT_ASSERT(suspects.on_peer_success(7, base::milliseconds{0}, start));
+        CPPUNIT_ASSERT(!suspects.on_peer_success(7, base::milliseconds{0}, start));
+    }
+
+    // Guards against a Retry-After at which the request is refused again.
+    void refusal_names_the_time_of_its_end() {
+        crash_suspects suspects;
+        CPPUNIT_ASSERT(suspects.time_to_expiry(7, start) == base::milliseconds{0});
+        suspects.on_crash({7, "a", 1, base::milliseconds{0}}, start);
+        suspects.on_crash({7, "b", 1, base::milliseconds{0}}, start + base::seconds{10});
+        auto const now = start + base::seconds{20};
+        CPPUNIT_ASSERT(suspects.refuses(7, now));
+        auto const end = now + suspects.time_to_expiry(7, now) + base::milliseconds{1};
+        CPPUNIT_ASSERT(!suspects.refuses(7, end));
+    }
+
     // Guards against unbounded memory use with many crashing fingerprints, and against evicting the newest one.
     void oldest_fingerprint_is_evicted() {
         poison::crash_suspects_options options;
--- a/Tests/process/crashing_requests/crashing_requests_test.cpp
+++ b/Tests/process/crashing_requests/crashing_requests_test.cpp
@@ -62,6 +62,7 @@
 class crashing_requests_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(crashing_requests_test);
     CPPUNIT_TEST(crashing_request_stops_after_two_targets);
+    CPPUNIT_TEST(crashes_are_known_to_entries_without_peers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -79,23 +80,36 @@
                      restart_entry(disturbed, entry);
              }},
         };
-        for_each_row(table, [&](crashing_row const& row) {
-            std::string const prefix = std::string{row.path} + "-";
-            for (std::size_t number = 0; number < repetitions; ++number) {
-                auto const answer = world.call({prefix + std::to_string(number), row.path, row.prompt_tokens,
-                                                "the same body", number % row.entries_used, row.may_run_again});
-                CPPUNIT_ASSERT(answer.status != 200);
-                if (number < 3)
-                    std::this_thread::sleep_for(restart_time);
-                if (number == 3 && row.disturb != nullptr)
-                    row.disturb(world);
-            }
-            CPPUNIT_ASSERT_EQUAL(permitted_crashes, runs_of(world, prefix));
-            // Other requests of the same caller are served.
-            std::this_thread::sleep_for(restart_time);
-            for (std::size_t entry = 0; entry < entry_count; ++entry)
-                world.wait_until_serving(entry);
-        });
+        for_each_row(table, [&](crashing_row const& row) { check_row(world, row); });
+    }
+
+    // Guards against entries that learn nothing from each other because their peers cannot be reached.
+    void crashes_are_known_to_entries_without_peers() {
+        platform_world world{{.entries = entry_count, .engines = 6, .services = 3, .seeds = 0}};
+        std::vector<crashing_row> const table{
+            {"plain call", "/order/crash/70", 0, false, entry_count, nullptr},
+            {"stream", "/gen/crash/80", 200, false, entry_count, nullptr},
+        };
+        for_each_row(table, [&](crashing_row const& row) { check_row(world, row); });
+    }
+
+private:
+    static void check_row(platform_world& world, crashing_row const& row) {
+        std::string const prefix = std::string{row.path} + "-";
+        for (std::size_t number = 0; number < repetitions; ++number) {
+            auto const answer = world.call({prefix + std::to_string(number), row.path, row.prompt_tokens,
+                                            "the same body", number % row.entries_used, row.may_run_again});
+            CPPUNIT_ASSERT(answer.status != 200);
+            if (number < 3)
+                std::this_thread::sleep_for(restart_time);
+            if (number == 3 && row.disturb != nullptr)
+                row.disturb(world);
+        }
+        CPPUNIT_ASSERT_EQUAL(permitted_crashes, runs_of(world, prefix));
+        // Other requests of the same caller are served.
+        std::this_thread::sleep_for(restart_time);
+        for (std::size_t entry = 0; entry < entry_count; ++entry)
+            world.wait_until_serving(entry);
     }
 };
 
--- a/Tests/soak/run_ledger_test.cpp
+++ b/Tests/soak/run_ledger_test.cpp
@@ -22,6 +22,15 @@
     platform::standin::target_standin target{
         context, {"orders", "domain", "127.0.0.1:1", "127.0.0.1:2", false}, directory, ledger, 1};
 
+    void run_crashing(int crashes, base::duration ago, int runs) {
+        for (int crash = 0; crash < crashes; ++crash)
+            ledger.record_crash("content", base::clock::now() - ago);
+        for (int number = 0; number < runs; ++number) {
+            auto const request = std::to_string(number);
+            ledger.begin_crashing_call(request, false, "content");
+            run(request);
+        }
+    }
     void run(std::string const& request, bool continued = false) { ledger.on_run(request, target, continued); }
 };
 
@@ -83,6 +92,18 @@
                  played.run("a");
              },
              true},
+            {"a crashing request runs a few times more", [](world& played) { played.run_crashing(3, 10s, 3); }, false},
+            {"a crashing request runs again and again", [](world& played) { played.run_crashing(3, 10s, 4); }, true},
+            {"a crashing request runs before entries can know", [](world& played) { played.run_crashing(3, 3s, 4); },
+             false},
+            {"a crashing request has crashed two targets", [](world& played) { played.run_crashing(2, 10s, 4); },
+             false},
+            {"a crashing request runs while something is harmed",
+             [](world& played) {
+                 played.ledger.begin_disturbance();
+                 played.run_crashing(3, 10s, 4);
+             },
+             false},
             {"nobody sent it", [](world& played) { played.run("a"); }, true},
             {"at a target that left",
              [](world& played) {
