Leave a restarted entry without its part of the retry reserve for one window

Cause: the budget of an entry ends with its process. The next process began with an unused part of the reserve, in the window in which its predecessor had used the same part.

Change: a process that started less than a window ago has no part of the reserve, only the share of its own requests. The predecessor's last use is then outside of any window that the part is in.

Test: retries_stay_within_the_bound_while_entries_restart fails without the rule on its first case and passes 1,000 cases with it.

--- a/Libraries/forwarding/local_retry_budget.cpp
+++ b/Libraries/forwarding/local_retry_budget.cpp
@@ -18,9 +18,16 @@
     requests_.push_back(now);
 }
 
+double local_retry_budget::reserve_part(std::uint32_t entries, base::time_point now) const {
+    // A predecessor of this process may have used the part shortly before it ended.
+    if (now - process_started_ < bound_.window)
+        return 0;
+    return bound_.reserve / std::max(1U, entries);
+}
+
 bool local_retry_budget::try_spend(std::uint32_t entries, base::time_point now) {
     drop_expired(now);
-    auto const allowed = bound_.share * static_cast<double>(requests_.size()) + bound_.reserve / std::max(1U, entries);
+    auto const allowed = bound_.share * static_cast<double>(requests_.size()) + reserve_part(entries, now);
     if (static_cast<double>(spent_.size()) + 1 > used_part * allowed)
         return false;
     spent_.push_back(now);
--- a/Libraries/forwarding/local_retry_budget.h
+++ b/Libraries/forwarding/local_retry_budget.h
@@ -23,8 +23,9 @@
     /// Share of the bound that is used. The rest covers requests that the entries count in different windows.
     static constexpr double used_part = 0.75;
 
-    explicit local_retry_budget(retry_bound const& bound)
-        : bound_(bound) {}
+    local_retry_budget(retry_bound const& bound, base::time_point process_started)
+        : bound_(bound)
+        , process_started_(process_started) {}
 
     void count_request(base::time_point now);
     /// Spends one retry if the budget of the current window permits it.
@@ -34,8 +35,10 @@
 
 private:
     void drop_expired(base::time_point now);
+    double reserve_part(std::uint32_t entries, base::time_point now) const;
 
     retry_bound bound_;
+    base::time_point process_started_;
     std::deque<base::time_point> requests_;
     std::deque<base::time_point> spent_;
 };
--- a/Libraries/forwarding_entry/blackboard.h
+++ b/Libraries/forwarding_entry/blackboard.h
@@ -26,11 +26,12 @@
     forwarding::fleet_view fleet;
     forwarding::request_queue queue;
     forwarding::retry_bound retry_bound;
+    base::time_point started_at{base::clock::now()};
     std::map<std::string, forwarding::local_retry_budget, std::less<>> retry_budgets;
     poison_control::guarded_suspects suspects;
 
     forwarding::local_retry_budget& retry_budget(std::string const& service) {
-        return retry_budgets.try_emplace(service, retry_bound).first->second;
+        return retry_budgets.try_emplace(service, retry_bound, started_at).first->second;
     }
 };
 
--- a/Tests/forwarding/table_test.cpp
+++ b/Tests/forwarding/table_test.cpp
@@ -25,6 +25,46 @@
 
 constexpr base::time_point start{1h};
 
+/// Entries that send each request again as often as their retry budgets permit.
+class retry_load {
+public:
+    static constexpr std::uint32_t entry_count = 4;
+
+    explicit retry_load(retry_bound const& bound)
+        : bound_(bound)
+        , entries_(entry_count, local_retry_budget{bound, start - bound.window}) {}
+
+    void restart(std::size_t number, base::time_point now) {
+        entries_.at(number) = local_retry_budget{bound_, now};
+    }
+    void request(std::size_t number, base::time_point now) {
+        auto& budget = entries_.at(number);
+        budget.count_request(now);
+        requests_.push_back(now);
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            if (budget.try_spend(entry_count, now))
+                retries_.push_back(now);
+        }
+        retried_ = retried_ || !retries_.empty();
+        while (now - requests_.front() > bound_.window)
+            requests_.pop_front();
+        while (!retries_.empty() && now - retries_.front() > bound_.window)
+            retries_.pop_front();
+    }
+    bool within_bound() const {
+        return static_cast<double>(retries_.size()) <=
+               bound_.share * static_cast<double>(requests_.size()) + bound_.reserve;
+    }
+    bool retried() const { return retried_; }
+
+private:
+    retry_bound bound_;
+    std::vector<local_retry_budget> entries_;
+    std::deque<base::time_point> requests_;
+    std::deque<base::time_point> retries_;
+    bool retried_{false};
+};
+
 publication change(std::string name, std::uint64_t revision, bool removed = false) {
     return {publication_kind::target, std::move(name), revision, removed, std::to_string(revision)};
 }
@@ -36,6 +76,7 @@
     CPPUNIT_TEST(publications_keep_the_newest_revision);
     CPPUNIT_TEST(listings_remove_missing_documents);
     CPPUNIT_TEST(retries_of_all_entries_stay_within_the_bound);
+    CPPUNIT_TEST(retries_stay_within_the_bound_while_entries_restart);
     CPPUNIT_TEST(routes_by_longest_prefix);
     CPPUNIT_TEST(queue_order);
     CPPUNIT_TEST(health);
@@ -83,7 +124,7 @@
             base::random_source random{seed};
             retry_bound const bound{0.2, 54, 10s};
             constexpr std::uint32_t entry_count = 4;
-            std::vector<local_retry_budget> entries(entry_count, local_retry_budget{bound});
+            std::vector<local_retry_budget> entries(entry_count, local_retry_budget{bound, start - bound.window});
             std::deque<base::time_point> requests;
             std::deque<base::time_point> extra;
             for (auto now = start; now < start + 40s; now += 20ms) {
@@ -105,6 +146,22 @@
         });
     }
 
+    // Guards against a retry storm: an entry that was started again used its part of the reserve a second time in the
+    // window in which its predecessor had used it.
+    void retries_stay_within_the_bound_while_entries_restart() {
+        check_property("bound while entries restart", [](std::uint64_t seed) {
+            base::random_source random{seed};
+            retry_load load{{0.2, 54, 10s}};
+            for (auto now = start; now < start + 60s; now += 20ms) {
+                if (random.below(100) == 0)
+                    load.restart(random.below(retry_load::entry_count), now);
+                load.request(random.below(retry_load::entry_count), now);
+                RC_ASSERT(load.within_bound());
+            }
+            RC_ASSERT(load.retried());
+        });
+    }
+
     // Guards against a request that is served by the route of another path or host.
     void routes_by_longest_prefix() {
         struct row {
