Divide bounds by the largest number of entries seen, not by the latest

Cause: each entry divides the reserve of retries, the request rate of cold targets and the slots of engines without a report by the entry count of the agent that reported last. With a zone cut off, the agents of each side see only their own side's entries, so four entries used the parts of two.

Change: entry_count keeps the largest number seen in two hours, longer than regions are cut off from each other. Agents keep it too, so that an entry that starts during a partition learns it. Agents count processes instead of connections, since an entry that reconnects has two for a while.

Test: retries_stay_within_the_bound_during_a_partition and entry_count_outlasts_a_partition fail when only the latest number is kept, and pass now.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -92,7 +92,7 @@
 }
 
 void fleet_view::update_report(std::string const& address, engine_report const& report, base::time_point now) {
-    entry_count_ = std::max(1U, report.entries);
+    entries_.observe(report.entries, now);
     for (auto& [id, target] : targets_) {
         if (target.record.address != address || target.record.started_at != report.started_at)
             continue;
@@ -159,7 +159,7 @@
         // Until its agent has reported the requests sent to it, a new engine looks idle to all entries at once.
         if (!target.report && now - target.seen_at < first_report_timeout)
             return false;
-        return target.open_requests < std::max(1.0, unreported_slot_share * engine->slots / entry_count_);
+        return target.open_requests < std::max(1.0, unreported_slot_share * engine->slots / count_entries(now));
     }
     return room(target, now).fits_prompt(size.expected_memory(), engine->slots);
 }
@@ -197,7 +197,7 @@
         return true;
     while (!target.cold_sends.empty() && now - target.cold_sends.front() > base::seconds{1})
         target.cold_sends.pop_front();
-    auto const part = std::max(1.0, cold_share * service->cold_rate / entry_count_);
+    auto const part = std::max(1.0, cold_share * service->cold_rate / count_entries(now));
     return static_cast<double>(target.cold_sends.size()) < part;
 }
 
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 #include "forwarding/engine_report.h"
 #include "forwarding/engine_room.h"
+#include "forwarding/entry_count.h"
 #include "forwarding/generation_size.h"
 #include "forwarding/route_set.h"
 #include "forwarding/target_health.h"
@@ -153,8 +154,8 @@
     /// Whether a copy of a request's memory at the target may be used.
     bool may_receive(std::string const& id, base::time_point now) const;
     bool evacuated(std::string const& failure_domain) const { return evacuated_.contains(failure_domain); }
-    /// Number of entries that share the targets, as reported by the agents. At least one.
-    std::uint32_t entry_count() const { return entry_count_; }
+    /// Number of entries that share the targets, as reported by the agents.
+    std::uint32_t count_entries(base::time_point now) const { return entries_.value(now); }
     std::string const& region_of(std::string const& failure_domain) const;
     /// Discards removed targets after removed_lifetime.
     void expire(base::time_point now);
@@ -183,7 +184,7 @@
     route_set_pointer routes_;
     std::map<std::string, target_view> targets_;
     std::set<std::string> evacuated_;
-    std::uint32_t entry_count_{1};
+    entry_count entries_;
     std::uint64_t next_reservation_{1};
 };
 
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -13,6 +13,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace cyclamenledge::forwarding_agent {
@@ -95,6 +97,7 @@
 
 void forwarding_agent_role::on_connected(link::connection& entry) {
     entries_[entry.number()] = link::connection_pointer{&entry};
+    count_entries();
     if (report_)
         entry.send(encode_report(current_report()));
 }
@@ -177,6 +180,7 @@
 }
 
 void forwarding_agent_role::send_to_entries() {
+    count_entries();
     last_sent_ = current_report();
     last_sent_at_ = base::clock::now();
     auto const content = encode_report(*last_sent_);
@@ -195,13 +199,21 @@
     content.reading = report.reading;
     content.used_tokens = report.used_tokens;
     content.total_tokens = report.total_tokens;
-    content.entries = static_cast<std::uint32_t>(entries_.size());
+    content.entries = entry_count_.value(base::clock::now());
     content.unread_tokens = report.unread_tokens;
     content.reading_pace = static_cast<float>(report.reading_pace);
     content.committed_tokens = report.committed_tokens;
     return content;
 }
 
+void forwarding_agent_role::count_entries() {
+    // An entry that has just reconnected may still have its earlier connection.
+    std::set<std::string_view> names;
+    for (auto const& [number, entry] : entries_)
+        names.insert(entry->peer().process);
+    entry_count_.observe(static_cast<std::uint32_t>(names.size()), base::clock::now());
+}
+
 void forwarding_agent_role::grant_copy_slots() {
     auto const leaves_in = report_ ? report_->leaves_in : std::nullopt;
     while (auto const slot = copy_queue_.next(leaves_in, base::clock::now())) {
--- a/Libraries/forwarding_agent/forwarding_agent_role.h
+++ b/Libraries/forwarding_agent/forwarding_agent_role.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/copy_queue.h"
 #include "forwarding/engine_report.h"
+#include "forwarding/entry_count.h"
 #include "forwarding/reservation_ledger.h"
 #include "http/server.h"
 #include "http/upstream_connection.h"
@@ -48,6 +49,7 @@
     /// Returns the newest report together with the reservations granted since.
     forwarding::engine_report current_report() const;
     wire::schema::EngineStateT encode_report(forwarding::engine_report const& report) const;
+    void count_entries();
     void grant_copy_slots();
     void on_connected(link::connection& entry) override;
     void on_disconnected(link::connection& entry, base::error const& reason) override;
@@ -62,6 +64,7 @@
     forwarding::reservation_ledger ledger_;
     forwarding::copy_queue copy_queue_;
     std::map<std::uint64_t, link::connection_pointer> entries_;
+    forwarding::entry_count entry_count_;
     poison_control::guarded_suspects suspects_;
     poison_control::poison_controller crash_notices_;
     process::operator_handler operators_;
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -76,7 +76,7 @@
     if (allowed == forwarding::repetition::none)
         return false;
     bool const free = allowed == forwarding::repetition::free;
-    if (!free && !parts_.board.retry_budget(request_.service).try_spend(parts_.board.fleet.entry_count(), now)) {
+    if (!free && !parts_.board.retry_budget(request_.service).try_spend(parts_.board.fleet.count_entries(now), now)) {
         parts_.metrics.add(metrics::counter_kind::retry_budget_exhausted);
         return false;
     }
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -394,7 +394,7 @@
     auto const allowed = forwarding::may_repeat(facts);
     if (allowed == forwarding::repetition::free ||
         (allowed == forwarding::repetition::on_budget &&
-         parts_.board.retry_budget(request_.service).try_spend(parts_.board.fleet.entry_count(), now))) {
+         parts_.board.retry_budget(request_.service).try_spend(parts_.board.fleet.count_entries(now), now))) {
         log::write(passed ? log::event_kind::stream_recovered : log::event_kind::request_sent_again,
                    {{"request", request_.caller.id}, {"after", tried_targets_.back()}, {"reason", result.reason}});
         parts_.metrics.add(metrics::counter_kind::retries);
--- a/Tests/forwarding/table_test.cpp
+++ b/Tests/forwarding/table_test.cpp
@@ -1,6 +1,7 @@
 #include "support/table_test.h"
 
 #include "base/random.h"
+#include "forwarding/entry_count.h"
 #include "forwarding/local_retry_budget.h"
 #include "forwarding/publication_table.h"
 #include "forwarding/request_queue.h"
@@ -32,17 +33,26 @@
 
     explicit retry_load(retry_bound const& bound)
         : bound_(bound)
-        , entries_(entry_count, local_retry_budget{bound, start - bound.window}) {}
+        , entries_(entry_count, entry{local_retry_budget{bound, start - bound.window}, {}}) {
+        report_entries(entry_count, start);
+    }
 
+    /// The agents report this number of connected entries.
+    void report_entries(std::uint32_t count, base::time_point now) {
+        reported_ = count;
+        for (auto& item : entries_)
+            item.count.observe(count, now);
+    }
     void restart(std::size_t number, base::time_point now) {
-        entries_.at(number) = local_retry_budget{bound_, now};
+        entries_.at(number) = {local_retry_budget{bound_, now}, {}};
+        entries_.at(number).count.observe(reported_, now);
     }
     void request(std::size_t number, base::time_point now) {
-        auto& budget = entries_.at(number);
-        budget.count_request(now);
+        auto& item = entries_.at(number);
+        item.budget.count_request(now);
         requests_.push_back(now);
         for (int attempt = 0; attempt < 3; ++attempt) {
-            if (budget.try_spend(entry_count, now))
+            if (item.budget.try_spend(item.count.value(now), now))
                 retries_.push_back(now);
         }
         retried_ = retried_ || !retries_.empty();
@@ -58,8 +68,14 @@
     bool retried() const { return retried_; }
 
 private:
+    struct entry {
+        local_retry_budget budget;
+        forwarding::entry_count count;
+    };
+
     retry_bound bound_;
-    std::vector<local_retry_budget> entries_;
+    std::vector<entry> entries_;
+    std::uint32_t reported_{0};
     std::deque<base::time_point> requests_;
     std::deque<base::time_point> retries_;
     bool retried_{false};
@@ -77,6 +93,8 @@
     CPPUNIT_TEST(listings_remove_missing_documents);
     CPPUNIT_TEST(retries_of_all_entries_stay_within_the_bound);
     CPPUNIT_TEST(retries_stay_within_the_bound_while_entries_restart);
+    CPPUNIT_TEST(retries_stay_within_the_bound_during_a_partition);
+    CPPUNIT_TEST(entry_count_outlasts_a_partition);
     CPPUNIT_TEST(routes_by_longest_prefix);
     CPPUNIT_TEST(queue_order);
     CPPUNIT_TEST(health);
@@ -162,6 +180,46 @@
         });
     }
 
+    // Guards against a retry storm: during a partition each side counted only its own entries, and each entry used a
+    // larger part of the reserve.
+    void retries_stay_within_the_bound_during_a_partition() {
+        retry_load load{{0.2, 54, 10s}};
+        for (auto now = start; now < start + 60s; now += 20ms) {
+            bool const cut = now >= start + 10s;
+            load.report_entries(cut ? retry_load::entry_count / 2 : retry_load::entry_count, now);
+            load.request(static_cast<std::size_t>((now - start) / 20ms) % retry_load::entry_count, now);
+            CPPUNIT_ASSERT(load.within_bound());
+        }
+        CPPUNIT_ASSERT(load.retried());
+    }
+
+    // Guards against a bound that is divided by too few entries during a partition, and against one that stays divided
+    // by entries that were removed.
+    void entry_count_outlasts_a_partition() {
+        struct row {
+            char const* name;
+            std::vector<std::pair<base::duration, std::uint32_t>> observed;
+            base::duration asked;
+            std::uint32_t expected;
+        };
+        std::vector<row> const table{
+            {"nothing observed", {}, 0s, 1},
+            {"no entry", {{0s, 0}}, 1s, 1},
+            {"steady", {{0s, 4}, {10s, 4}}, 10s, 4},
+            {"more entries", {{0s, 4}, {10s, 6}}, 10s, 6},
+            {"partition of an hour", {{0s, 4}, {1s, 2}, {1h, 2}}, 1h, 4},
+            {"entries removed", {{0s, 4}, {1s, 2}, {3h, 2}}, 3h, 2},
+            {"nothing observed for long", {{0s, 4}}, 3h, 1},
+            {"partition in steps", {{0s, 6}, {60min, 4}, {90min, 2}, {150min, 2}}, 150min, 4},
+        };
+        for_each_row(table, [](row const& tested) {
+            forwarding::entry_count count;
+            for (auto const& [after, entries] : tested.observed)
+                count.observe(entries, start + after);
+            CPPUNIT_ASSERT_EQUAL(tested.expected, count.value(start + tested.asked));
+        });
+    }
+
     // Guards against a request that is served by the route of another path or host.
     void routes_by_longest_prefix() {
         struct row {
