Recognise a crashed target that was restarted under the same id

A target that a supervisor restarts at once accepts connections again, so its crash is recognised by the newer incarnation at its address. The check compared ids and missed a restart under the same id; it now compares the address and the start time. newer_incarnations_are_found_by_address covers both, and refusals_have_statuses_that_callers_take_as_not_run the statuses of refusals.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -316,13 +316,11 @@
     return found == targets_.end() ? nullptr : &found->second;
 }
 
-bool fleet_view::replaced(std::string const& id) const {
-    auto const* replaced = find(id);
-    return replaced != nullptr && std::ranges::any_of(targets_, [&](auto const& entry) {
-               auto const& target = entry.second;
-               return &target != replaced && !target.removed && target.record.address == replaced->record.address &&
-                      target.record.started_at > replaced->record.started_at;
-           });
+bool fleet_view::has_newer_incarnation(std::string const& address, std::int64_t started_at) const {
+    return std::ranges::any_of(targets_, [&](auto const& entry) {
+        auto const& target = entry.second;
+        return !target.removed && target.record.address == address && target.record.started_at > started_at;
+    });
 }
 
 std::uint32_t fleet_view::slots_of(std::string const& id) const {
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -144,8 +144,8 @@
     void record_outcome(std::string const& id, target_outcome outcome, base::time_point now);
 
     target_view const* find(std::string const& id) const;
-    /// Whether another incarnation uses the address of the target now.
-    bool replaced(std::string const& id) const;
+    /// Whether a target that started after the given Unix time in milliseconds is announced at the address.
+    bool has_newer_incarnation(std::string const& address, std::int64_t started_at) const;
     std::map<std::string, target_view> const& targets() const { return targets_; }
     /// Number of requests that the target can run at the same time.
     std::uint32_t slots_of(std::string const& id) const;
--- a/Libraries/forwarding_entry/crash_detector.cpp
+++ b/Libraries/forwarding_entry/crash_detector.cpp
@@ -39,14 +39,15 @@
 
 asio::awaitable<void> crash_detector::conclude(std::string target) {
     auto const* view = board_.fleet.find(target);
-    auto const incarnation = view == nullptr ? 0 : static_cast<std::uint64_t>(view->record.started_at);
-    bool crashed = false;
     // A target that has announced its end closes its connections as planned.
-    if (view != nullptr && !view->leaving(base::clock::now())) {
-        crashed = co_await refuses_connections(target);
+    bool const expected = view == nullptr || view->leaving(base::clock::now());
+    auto const lost = expected ? forwarding::target_record{} : view->record;
+    bool crashed = false;
+    if (!expected) {
+        crashed = co_await refuses_connections(lost.address);
         if (!crashed) {
             examinations_.at(target).verdict.expires_at(base::clock::now());
-            crashed = co_await was_replaced(target);
+            crashed = co_await is_replaced(lost);
         }
     }
     // The end of the node resumes the requests that wait for the verdict, after the crash is recorded.
@@ -57,14 +58,14 @@
     for (auto const& run : concluded.mapped().runs) {
         log::write(log::event_kind::target_crashed,
                    {{"request", run.request}, {"fingerprint", run.fingerprint}, {"target", target}});
-        suspects_.on_crash({run.fingerprint, target, incarnation,
+        suspects_.on_crash({run.fingerprint, target, static_cast<std::uint64_t>(lost.started_at),
                             std::chrono::duration_cast<base::milliseconds>(now - run.lost_at),
                             std::chrono::duration_cast<base::milliseconds>(run.lost_at - run.sent_at)});
     }
 }
 
-asio::awaitable<bool> crash_detector::refuses_connections(std::string const& target) {
-    auto const endpoint = network::parse_endpoint(board_.fleet.find(target)->record.address);
+asio::awaitable<bool> crash_detector::refuses_connections(std::string address) {
+    auto const endpoint = network::parse_endpoint(address);
     if (!endpoint)
         co_return false;
     http::upstream_pointer const probe{new http::upstream_connection{context_.get_executor(), endpoint.value()}};
@@ -73,12 +74,12 @@
     co_return !connected && connected.error().kind == base::error_kind::link_lost;
 }
 
-asio::awaitable<bool> crash_detector::was_replaced(std::string const& target) {
+asio::awaitable<bool> crash_detector::is_replaced(forwarding::target_record lost) {
     asio::steady_timer timer{context_};
     for (int check = 0; check < announcement_checks; ++check) {
         timer.expires_after(announcement_check_interval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-        if (board_.fleet.replaced(target))
+        if (board_.fleet.has_newer_incarnation(lost.address, lost.started_at))
             co_return true;
     }
     co_return false;
--- a/Libraries/forwarding_entry/crash_detector.h
+++ b/Libraries/forwarding_entry/crash_detector.h
@@ -48,8 +48,8 @@
     };
 
     boost::asio::awaitable<void> conclude(std::string target);
-    boost::asio::awaitable<bool> refuses_connections(std::string const& target);
-    boost::asio::awaitable<bool> was_replaced(std::string const& target);
+    boost::asio::awaitable<bool> refuses_connections(std::string address);
+    boost::asio::awaitable<bool> is_replaced(forwarding::target_record lost);
 
     boost::asio::io_context& context_;
     blackboard const& board_;
--- a/Tests/forwarding/placement_test.cpp
+++ b/Tests/forwarding/placement_test.cpp
@@ -102,6 +102,7 @@
     CPPUNIT_TEST(copies_are_not_used_at_ineligible_targets);
     CPPUNIT_TEST(targets_are_used_while_their_removal_is_unconfirmed);
     CPPUNIT_TEST(a_new_incarnation_discards_earlier_state);
+    CPPUNIT_TEST(newer_incarnations_are_found_by_address);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -327,6 +328,39 @@
         fleet.update_report("a:1", report, fleet_start);
         CPPUNIT_ASSERT(!fleet.find("a")->leaving(fleet_start));
     }
+
+    // Guards against missing the crash of a target that was restarted before its address could refuse a connection.
+    void newer_incarnations_are_found_by_address() {
+        struct row {
+            char const* name;
+            char const* id;
+            char const* address;
+            std::int64_t started_at;
+            bool removed;
+            bool found;
+        };
+        std::vector<row> const table{
+            {"the same incarnation", "a", "a:1", 5, false, false},
+            {"restarted under its id", "a", "a:1", 6, false, true},
+            {"restarted under another id", "b", "a:1", 6, false, true},
+            {"restarted and gone again", "b", "a:1", 6, true, false},
+            {"an earlier incarnation", "b", "a:1", 4, false, false},
+            {"another address", "b", "b:1", 6, false, false},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto fleet = make_fleet();
+            auto lost = engine_record("a", "north-a");
+            lost.started_at = 5;
+            fleet.update_target(lost, fleet_start);
+            auto announced = engine_record(tested.id, "north-a");
+            announced.address = tested.address;
+            announced.started_at = tested.started_at;
+            fleet.update_target(announced, fleet_start);
+            if (tested.removed)
+                fleet.remove_target(tested.id, false, fleet_start);
+            CPPUNIT_ASSERT_EQUAL(tested.found, fleet.has_newer_incarnation(lost.address, lost.started_at));
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
--- a/Tests/platform/decoding_test.cpp
+++ b/Tests/platform/decoding_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(caller_requests);
     CPPUNIT_TEST(forwarded_requests);
     CPPUNIT_TEST(answers);
+    CPPUNIT_TEST(refusals_have_statuses_that_callers_take_as_not_run);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -203,6 +204,24 @@
             CPPUNIT_ASSERT(!answer.stamped);
         });
     }
+
+    // Guards against a refusal that callers count as a wrong answer to a request that the configuration allows.
+    void refusals_have_statuses_that_callers_take_as_not_run() {
+        struct row {
+            char const* name;
+            base::error_kind kind;
+            unsigned status;
+        };
+        std::vector<row> const table{{"crashes targets", base::error_kind::poison_request, 503},
+                                     {"no room", base::error_kind::overloaded, 503},
+                                     {"no target", base::error_kind::no_target, 503},
+                                     {"no route", base::error_kind::not_found, 404},
+                                     {"no key", base::error_kind::unauthorised, 401},
+                                     {"connection lost", base::error_kind::link_lost, 502}};
+        for_each_row(table, [](row const& tested) {
+            CPPUNIT_ASSERT_EQUAL(tested.status, platform::status_for_caller(tested.kind));
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(decoding_test);
