Pass each crash notice on once, also after a success has cleared it

Cause: a success removed the crash records of its fingerprint, and a copy of a notice that arrived later, with the time of its transfer added to the crash, counted as a new crash and was sent to all again. The evicted record of a full list came back in the same way. With one content that many callers send, notices multiplied without end.

Change: a record that a success cleared is kept and marked, so a crash is new once in each process; a full list takes no further crash unless a cleared one can go; the earliest time of a crash is kept. A target that starts again under its id is named with its start, so that it counts as another one.

Test: notices_are_passed_on_once simulates six processes and failed before (the number of messages passed its bound); it passes now.

--- a/Libraries/forwarding_entry/crash_detector.cpp
+++ b/Libraries/forwarding_entry/crash_detector.cpp
@@ -58,7 +58,9 @@
     for (auto const& run : concluded.mapped().runs) {
         log::write(log::event_kind::target_crashed,
                    {{"request", run.request}, {"fingerprint", run.fingerprint}, {"target", target}});
-        suspects_.on_crash({run.fingerprint, target, static_cast<std::uint64_t>(lost.started_at),
+        // A target that starts again under its id counts as another one.
+        suspects_.on_crash({run.fingerprint, target + "@" + std::to_string(lost.started_at),
+                            static_cast<std::uint64_t>(lost.started_at),
                             std::chrono::duration_cast<base::milliseconds>(now - run.lost_at),
                             std::chrono::duration_cast<base::milliseconds>(run.lost_at - run.sent_at)});
     }
--- a/Libraries/poison/crash_suspects.cpp
+++ b/Libraries/poison/crash_suspects.cpp
@@ -1,6 +1,8 @@
 #include "poison/crash_suspects.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -15,34 +17,38 @@
     if (expired(at, now))
         return false;
     auto const found = find_or_insert(notice.fingerprint, at);
-    if (at <= found->cleared)
-        return false;
-    auto& crash_records = found->crash_records;
-    auto const existing =
-        std::find_if(crash_records.begin(), crash_records.end(),
-                     [&notice](crash_record const& record) { return record.target == notice.target; });
-    // Each target counts once, with its newest crash. Taking the maximum makes the merge independent of the order.
-    bool const is_new =
-        existing == crash_records.end() || (existing->incarnation != notice.incarnation && at > existing->at);
+    auto& records = found->crash_records;
     auto const run_started = at - std::max(notice.ran_for, base::milliseconds{0});
-    if (existing == crash_records.end())
-        crash_records.push_back({notice.target, notice.incarnation, at, run_started});
-    else if (std::tie(at, notice.incarnation, run_started) >
-             std::tie(existing->at, existing->incarnation, existing->run_started))
-        *existing = {notice.target, notice.incarnation, at, run_started};
-    if (crash_records.size() > options_.maximum_crash_records)
-        crash_records.erase(std::min_element(
-            crash_records.begin(), crash_records.end(), [](crash_record const& left, crash_record const& right) {
-                return std::tie(left.at, left.target) < std::tie(right.at, right.target);
-            }));
+    auto const existing = std::ranges::find_if(records, [&notice](crash_record const& record) {
+        return record.target == notice.target && record.incarnation == notice.incarnation;
+    });
+    if (existing != records.end()) {
+        // Each process on the way adds the time of the transfer, so the earliest time is the most exact one.
+        std::tie(existing->at, existing->run_started) =
+            std::min(std::tuple{existing->at, existing->run_started}, std::tuple{at, run_started});
+        return false;
+    }
+    if (records.size() >= options_.maximum_crash_records) {
+        auto const replaceable = std::ranges::find_if(records, &crash_record::cleared);
+        if (replaceable == records.end())
+            return false;
+        records.erase(replaceable);
+    }
+    bool const cleared = at <= found->cleared;
+    records.push_back({notice.target, notice.incarnation, at, run_started, cleared});
     update_newest(found, std::max(found->newest, at));
     evict_oldest();
-    return is_new;
+    return !cleared;
 }
 
 bool crash_suspects::clear(suspect& cleared, base::time_point at) {
     cleared.cleared = std::max(cleared.cleared, at);
-    return std::erase_if(cleared.crash_records, [at](crash_record const& record) { return record.at <= at; }) > 0;
+    bool any = false;
+    for (auto& record : cleared.crash_records) {
+        any = any || (!record.cleared && record.at <= at);
+        record.cleared = record.cleared || record.at <= at;
+    }
+    return any;
 }
 
 bool crash_suspects::on_success(std::uint64_t fingerprint, base::time_point now) {
@@ -69,17 +75,16 @@
 
 std::size_t crash_suspects::count_separate_crashes(suspect const& counted, base::time_point now) const {
     auto records = counted.crash_records;
-    std::erase_if(records, [this, now](crash_record const& record) { return expired(record.at, now); });
+    std::erase_if(records,
+                  [this, now](crash_record const& record) { return record.cleared || expired(record.at, now); });
     std::ranges::sort(records, {}, &crash_record::at);
-    std::size_t count = 0;
+    std::set<std::string_view> targets;
     auto last_crash = base::time_point::min();
     for (auto const& record : records) {
-        if (record.run_started < last_crash)
-            continue;
-        ++count;
-        last_crash = record.at;
+        if (record.run_started >= last_crash && targets.insert(record.target).second)
+            last_crash = record.at;
     }
-    return count;
+    return targets.size();
 }
 
 bool crash_suspects::suspects(std::uint64_t fingerprint, base::time_point now) const {
@@ -94,18 +99,22 @@
 
 base::milliseconds crash_suspects::time_to_expiry(std::uint64_t fingerprint, base::time_point now) const {
     auto const found = by_fingerprint_.find(fingerprint);
-    if (found == by_fingerprint_.end() || found->second->crash_records.empty())
-        return base::milliseconds{0};
-    auto const newest = std::ranges::max_element(found->second->crash_records, {}, &crash_record::at)->at;
-    return std::max(base::milliseconds{0},
-                    std::chrono::duration_cast<base::milliseconds>(newest + options_.crash_record_lifetime - now));
+    auto left = base::milliseconds{0};
+    if (found == by_fingerprint_.end())
+        return left;
+    for (auto const& record : found->second->crash_records) {
+        if (!record.cleared)
+            left = std::max(
+                left, std::chrono::duration_cast<base::milliseconds>(record.at + options_.crash_record_lifetime - now));
+    }
+    return left;
 }
 
 std::vector<crash_notice> crash_suspects::notices(base::time_point now) const {
     std::vector<crash_notice> notices;
     for (auto const& item : suspects_) {
         for (auto const& record : item.crash_records) {
-            if (!expired(record.at, now))
+            if (!record.cleared && !expired(record.at, now))
                 notices.push_back({item.fingerprint, record.target, record.incarnation,
                                    std::chrono::duration_cast<base::milliseconds>(now - record.at),
                                    std::chrono::duration_cast<base::milliseconds>(record.at - record.run_started)});
--- a/Libraries/poison/crash_suspects.h
+++ b/Libraries/poison/crash_suspects.h
@@ -26,7 +26,7 @@
 struct crash_suspects_options {
     base::seconds crash_record_lifetime{600};
     std::size_t maximum_fingerprints{10'000};
-    std::size_t maximum_crash_records{4};
+    std::size_t maximum_crash_records{16};
     std::size_t targets_to_refuse{2};
 };
 
@@ -39,8 +39,8 @@
     explicit crash_suspects(crash_suspects_options options = {});
 
     /// Merges a crash that this process detected or a peer reported. Returns whether the crash was new; the caller then
-    /// sends it to the peers. While no bound is reached, the state does not depend on the order or repetition of
-    /// notices.
+    /// sends it to the peers. A crash is new only once, however often and late its notice arrives. While no bound is
+    /// reached, the state does not depend on the order or repetition of notices.
     bool on_crash(crash_notice const& notice, base::time_point now);
     /// Clears the crash records of a fingerprint that ran to completion. Earlier crashes no longer count, even if a
     /// peer reports them again. Returns whether there were any; the caller then tells the peers.
@@ -65,6 +65,9 @@
         std::uint64_t incarnation{0};
         base::time_point at{};
         base::time_point run_started{};
+        /// The fingerprint ran to completion since. The record is kept, so that a late copy of its notice is not taken
+        /// for a new crash and passed on again.
+        bool cleared{false};
     };
     struct suspect {
         std::uint64_t fingerprint{0};
--- a/Tests/poison/crash_suspects_test.cpp
+++ b/Tests/poison/crash_suspects_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <random>
 #include <string>
 #include <vector>
@@ -72,6 +73,7 @@
     CPPUNIT_TEST(late_copy_of_a_cleared_notice_is_ignored);
     CPPUNIT_TEST(success_at_a_peer_clears_crashes_that_arrive_later);
     CPPUNIT_TEST(refusal_names_the_time_of_its_end);
+    CPPUNIT_TEST(notices_are_passed_on_once);
     CPPUNIT_TEST(oldest_fingerprint_is_evicted);
     CPPUNIT_TEST_SUITE_END();
 
@@ -132,6 +134,52 @@
         CPPUNIT_ASSERT(!suspects.on_peer_success(7, base::milliseconds{0}, start));
     }
 
+    // Guards against a storm of notices: a copy that arrived after a success cleared its crash counted as new, and was
+    // passed on again without end. Each process sends what is new to it to all others, which takes 20 ms.
+    void notices_are_passed_on_once() {
+        constexpr std::size_t processes = 6;
+        constexpr std::size_t crashes = 20;
+        struct message {
+            base::time_point arrives;
+            std::size_t to;
+            bool success;
+            crash_notice notice;
+        };
+        std::vector<crash_suspects> tables(processes);
+        std::deque<message> sent;
+        std::size_t count = 0;
+        auto const send = [&](std::size_t from, bool success, crash_notice const& notice, base::time_point now) {
+            for (std::size_t to = 0; to < processes; ++to) {
+                if (to != from)
+                    sent.push_back({now + base::milliseconds{20}, to, success, notice});
+            }
+            count += processes - 1;
+        };
+        for (int step = 0; step < 1000; ++step) {
+            auto const now = start + base::milliseconds{step};
+            if (step < 400 && step % 20 == 0) {
+                crash_notice const crash{7, std::to_string(step), 1, base::milliseconds{0}};
+                if (tables[0].on_crash(crash, now))
+                    send(0, false, crash, now);
+            }
+            auto const lucky = static_cast<std::size_t>(step) % processes;
+            if (step % 7 == 0 && tables[lucky].on_success(7, now))
+                send(lucky, true, {7, "", 0, base::milliseconds{0}}, now);
+            while (!sent.empty() && sent.front().arrives <= now) {
+                auto const received = sent.front();
+                sent.pop_front();
+                auto& table = tables[received.to];
+                bool const news = received.success ? table.on_peer_success(7, received.notice.age, now)
+                                                   : table.on_crash(received.notice, now);
+                if (news)
+                    send(received.to, received.success, received.notice, now);
+            }
+            // Each process sends each crash, and its end, at most once.
+            CPPUNIT_ASSERT(count <= crashes * processes * (processes - 1) * 2);
+        }
+        CPPUNIT_ASSERT(sent.empty());
+    }
+
     // Guards against a Retry-After at which the request is refused again.
     void refusal_names_the_time_of_its_end() {
         crash_suspects suspects;
