--- a/Libraries/forwarding/local_retry_budget.cpp
+++ b/Libraries/forwarding/local_retry_budget.cpp
@@ -25,10 +25,13 @@
     return bound_.reserve / std::max(1U, entries);
 }
 
+double local_retry_budget::allowed(std::uint32_t entries, base::time_point now) const {
+    return used_part * (bound_.share * static_cast<double>(requests_.size()) + reserve_part(entries, now));
+}
+
 bool local_retry_budget::try_spend(std::uint32_t entries, base::time_point now) {
     drop_expired(now);
-    auto const allowed = bound_.share * static_cast<double>(requests_.size()) + reserve_part(entries, now);
-    if (static_cast<double>(spent_.size()) + 1 > used_part * allowed)
+    if (static_cast<double>(spent_.size()) + 1 > allowed(entries, now))
         return false;
     spent_.push_back(now);
     return true;
@@ -39,4 +42,9 @@
     spent_.push_back(now);
 }
 
+retry_budget_use local_retry_budget::use(std::uint32_t entries, base::time_point now) {
+    drop_expired(now);
+    return {requests_.size(), spent_.size(), allowed(entries, now)};
+}
+
 } // namespace cyclamenledge::forwarding
--- a/Libraries/forwarding/local_retry_budget.h
+++ b/Libraries/forwarding/local_retry_budget.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 
@@ -16,6 +17,13 @@
     base::duration window{base::seconds{10}};
 };
 
+/// Use of an entry's part of a retry budget in the current window, for logs.
+struct retry_budget_use {
+    std::size_t requests{0};
+    std::size_t spent{0};
+    double allowed{0};
+};
+
 /// This entry's part of the retry budget of one service. Each entry uses at most the share of its own requests and an
 /// equal part of the reserve, so that the total bound holds without communication, also during a partition.
 class local_retry_budget {
@@ -32,8 +40,10 @@
     bool try_spend(std::uint32_t entries, base::time_point now);
     /// Spends a retry that is made regardless of the budget, such as one that continues a running stream.
     void spend(base::time_point now);
+    retry_budget_use use(std::uint32_t entries, base::time_point now);
 
 private:
+    double allowed(std::uint32_t entries, base::time_point now) const;
     void drop_expired(base::time_point now);
     double reserve_part(std::uint32_t entries, base::time_point now) const;
 
--- a/Libraries/forwarding_entry/forwarder.cpp
+++ b/Libraries/forwarding_entry/forwarder.cpp
@@ -32,6 +32,26 @@
     return target.substr(0, target.find_first_of("?#"));
 }
 
+/// Logs that the process ended while it served a request: the request's coroutine is destroyed before its end.
+class cut_off_notice {
+public:
+    explicit cut_off_notice(std::string request)
+        : request_(std::move(request)) {}
+    cut_off_notice(cut_off_notice const&) = delete;
+    cut_off_notice& operator=(cut_off_notice const&) = delete;
+    cut_off_notice(cut_off_notice&&) = delete;
+    cut_off_notice& operator=(cut_off_notice&&) = delete;
+    ~cut_off_notice() {
+        if (!served_)
+            log::write(log::event_kind::request_cut_off, {{"request", request_}});
+    }
+    void set_served() { served_ = true; }
+
+private:
+    std::string request_;
+    bool served_{false};
+};
+
 } // namespace
 
 base::error forwarder::refuse_unknown(base::error_kind kind, std::string message) const {
@@ -117,6 +137,7 @@
         std::ignore = co_await client->send(make_error_answer(leaving));
         co_return;
     }
+    cut_off_notice notice{request.caller.id};
     if (forwarding::is_stream(request.route->kind)) {
         boost::intrusive_ptr<stream_exchange> const exchange{new stream_exchange{parts_, std::move(request)}};
         co_await exchange->run();
@@ -124,6 +145,7 @@
         boost::intrusive_ptr<plain_exchange> const exchange{new plain_exchange{parts_, std::move(request)}};
         co_await exchange->run();
     }
+    notice.set_served();
 }
 
 } // namespace cyclamenledge::forwarding_entry
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -67,21 +67,13 @@
     return std::min<base::time_point>(request_.deadline, now + part);
 }
 
-bool plain_exchange::allow_retry(send_result const& last) {
-    auto const now = base::clock::now();
-    if (caller_left_ || now >= request_.deadline)
-        return false;
+retry_decision plain_exchange::decide_next(send_result const& last) {
+    if (caller_left_)
+        return {.reason = retry_reason::caller_left};
+    if (base::clock::now() >= request_.deadline)
+        return {.reason = retry_reason::deadline};
     crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.fingerprint);
-    auto const allowed = forwarding::may_repeat(make_attempt_facts(last));
-    if (allowed == forwarding::repetition::none)
-        return false;
-    bool const free = allowed == forwarding::repetition::free;
-    if (!free && !parts_.board.retry_budget(request_.service).try_spend(parts_.board.fleet.count_entries(now), now)) {
-        parts_.metrics.add(metrics::counter_kind::retry_budget_exhausted);
-        return false;
-    }
-    parts_.metrics.add(metrics::counter_kind::retries);
-    return true;
+    return decide_retry(parts_, request_.service, make_attempt_facts(last));
 }
 
 forwarding::attempt_facts plain_exchange::make_attempt_facts(send_result const& last) const {
@@ -104,6 +96,7 @@
             if (possible_runs_ == 0)
                 co_return make_error_answer(target.error());
             // Every other target was tried already, so the last outcome is final.
+            not_repeated_ = base::name_of(target.error().kind);
             break;
         }
         last = co_await send_to(target.value());
@@ -112,10 +105,11 @@
         else
             parts_.placements.release(target.value(), request_.caller.id);
         tried_targets_.push_back(target.value());
-        if (!allow_retry(last))
+        auto const decision = decide_next(last);
+        not_repeated_ = decision.reason;
+        if (!decision.allowed)
             break;
-        log::write(log::event_kind::request_sent_again,
-                   {{"request", request_.caller.id}, {"after", target.value()}, {"reason", last.reason}});
+        log_retry(log::event_kind::request_sent_again, request_.caller.id, target.value(), last.reason, decision);
     }
     co_return make_final_answer(std::move(last));
 }
@@ -131,8 +125,10 @@
         return std::move(*last.answer);
     }
     if (!caller_left_)
-        log::write(log::event_kind::request_failed,
-                   {{"request", request_.caller.id}, {"reason", last.reason}, {"targets", tried_targets_.size()}});
+        log::write(log::event_kind::request_failed, {{"request", request_.caller.id},
+                                                     {"reason", last.reason},
+                                                     {"targets", tried_targets_.size()},
+                                                     {"not_repeated", not_repeated_}});
     if (conclusion == forwarding::final_answer::refuse && crashes_targets_)
         return make_error_answer(make_poison_refusal(parts_.suspects.time_to_expiry(request_.fingerprint)));
     if (conclusion == forwarding::final_answer::refuse)
--- a/Libraries/forwarding_entry/plain_exchange.h
+++ b/Libraries/forwarding_entry/plain_exchange.h
@@ -2,6 +2,7 @@
 
 #include "forwarding_entry/entry_parts.h"
 #include "forwarding_entry/request_context.h"
+#include "forwarding_entry/retry_gate.h"
 #include "forwarding_entry/send_result.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -9,6 +10,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -29,7 +31,7 @@
     boost::asio::awaitable<send_result> read_answer(std::string const& target, std::string const& address,
                                                     http::upstream_pointer connection, base::time_point attempt_end);
     base::time_point attempt_deadline(base::time_point now) const;
-    bool allow_retry(send_result const& last);
+    retry_decision decide_next(send_result const& last);
     forwarding::attempt_facts make_attempt_facts(send_result const& last) const;
     http::response make_final_answer(send_result last);
     placement_need next_placement();
@@ -41,6 +43,8 @@
     std::vector<std::string> tried_targets_;
     std::uint32_t possible_runs_{0};
     std::uint32_t unsent_attempts_{0};
+    /// Why the request is not sent to another target, for the log.
+    std::string_view not_repeated_{retry_reason::final_outcome};
     /// Targets crashed while they ran requests with the same content.
     bool crashes_targets_{false};
     bool caller_left_{false};
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -393,7 +393,6 @@
 }
 
 void stream_exchange::recover(stream_run& ended, send_result result) {
-    auto const now = base::clock::now();
     crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.fingerprint);
     if (!crashes_targets_ && result.may_have_run() && resume_from_backup(ended))
         return;
@@ -406,13 +405,11 @@
                                           unsent_attempts_,
                                           crashes_targets_};
     bool const passed = relay_.passed_any();
-    auto const allowed = forwarding::may_repeat(facts);
-    if (allowed == forwarding::repetition::free ||
-        (allowed == forwarding::repetition::on_budget &&
-         parts_.board.retry_budget(request_.service).try_spend(parts_.board.fleet.count_entries(now), now))) {
-        log::write(passed ? log::event_kind::stream_recovered : log::event_kind::request_sent_again,
-                   {{"request", request_.caller.id}, {"after", tried_targets_.back()}, {"reason", result.reason}});
-        parts_.metrics.add(metrics::counter_kind::retries);
+    auto const decision = decide_retry(parts_, request_.service, facts);
+    not_repeated_ = decision.reason;
+    if (decision.allowed) {
+        log_retry(passed ? log::event_kind::stream_recovered : log::event_kind::request_sent_again, request_.caller.id,
+                  tried_targets_.back(), result.reason, decision);
         phase_ = phase::needs_run;
         return;
     }
@@ -471,9 +468,11 @@
 }
 
 void stream_exchange::fail(base::error failure, std::string_view reason) {
-    log::write(
-        log::event_kind::request_failed,
-        {{"request", request_.caller.id}, {"reason", reason}, {"events", event_count_}, {"targets", possible_runs_}});
+    log::write(log::event_kind::request_failed, {{"request", request_.caller.id},
+                                                 {"reason", reason},
+                                                 {"events", event_count_},
+                                                 {"targets", possible_runs_},
+                                                 {"not_repeated", not_repeated_}});
     if (!head_sent_ && !relay_.passed_any()) {
         answer_ = make_error_answer(failure);
         phase_ = phase::answered;
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -3,6 +3,7 @@
 #include "forwarding/stream_relay.h"
 #include "forwarding_entry/entry_parts.h"
 #include "forwarding_entry/request_context.h"
+#include "forwarding_entry/retry_gate.h"
 #include "forwarding_entry/send_result.h"
 #include "forwarding_entry/stream_registry.h"
 #include "forwarding_entry/stream_run.h"
@@ -13,6 +14,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cyclamenledge::forwarding_entry {
@@ -97,6 +99,8 @@
     std::vector<std::string> tried_targets_;
     std::uint32_t possible_runs_{0};
     std::uint32_t unsent_attempts_{0};
+    /// Why the request is not sent to another target, for the log.
+    std::string_view not_repeated_{retry_reason::final_outcome};
     std::optional<http::response_head> head_;
     bool head_sent_{false};
     std::string pending_output_;
--- a/Libraries/log/event_kind.h
+++ b/Libraries/log/event_kind.h
@@ -76,8 +76,9 @@
     permit_issuer_responsive,
     store_restored,
     target_outdated,
+    request_cut_off,
 };
-inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::target_outdated) + 1;
+inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::request_cut_off) + 1;
 
 /// Number, level and name of one kind of event.
 struct event_definition {
