--- a/Development/soak/caller.cpp
+++ b/Development/soak/caller.cpp
@@ -43,6 +43,10 @@
     {"/read/", true, true},
 }};
 
+std::string service_of(route_definition const& route) {
+    return route.plain ? plain_service : engine_service;
+}
+
 bool refused(unsigned status) {
     return status == 429 || status == 503;
 }
@@ -85,7 +89,7 @@
     made.plain = definition.plain;
     made.size = definition.plain ? random_.below(3000) : 1 + random_.below(120);
     made.path = definition.prefix + std::to_string(made.size);
-    ledger_.begin_call(made.request, definition.may_run_again);
+    ledger_.begin_call(made.request, definition.may_run_again, service_of(definition));
     auto const began = base::clock::now();
     auto const& process = world_.entries()[made.entry]->process;
     auto const request = made.request;
@@ -112,7 +116,7 @@
     made.path = definition.prefix + std::string{"crash/1"};
     made.body = "crashes targets";
     auto const request = made.request;
-    ledger_.begin_crashing_call(request, definition.may_run_again, made.path);
+    ledger_.begin_crashing_call(request, definition.may_run_again, service_of(definition), made.path);
     ledger_.end_call(request, co_await perform(std::move(made)));
 }
 
@@ -220,7 +224,7 @@
     exchange made;
     made.entry = entry;
     made.request = next_id();
-    ledger_.begin_call(made.request, true);
+    ledger_.begin_call(made.request, true, plain_service);
     unsigned status = 0;
     if (auto const connection = co_await connect(made); connection) {
         platform::standin::caller_call content{made.request, caller_host, path, caller_key, plain_deadline, 0, 0, {}};
--- a/Development/soak/fleet.cpp
+++ b/Development/soak/fleet.cpp
@@ -112,7 +112,7 @@
 base::result<void> fleet::add_target(std::size_t number, bool engine) {
     auto site = std::make_unique<target_site>();
     auto const ip = host_ + std::to_string(100 + number);
-    platform::standin::target_standin::place where{engine ? "engine" : "orders", domain_name(number),
+    platform::standin::target_standin::place where{engine ? engine_service : plain_service, domain_name(number),
                                                    at(ip, target_port), at(ip, target_port + behind_proxy), engine};
     site->proxy = std::make_unique<fault_proxy>(context_, where.listen_address);
     BOOST_OUTCOME_TRYV(site->proxy->listen(where.address));
@@ -122,7 +122,7 @@
         [this, crashed = site.get()](std::string const& request) { on_crash(*crashed, !request.empty()); });
     BOOST_OUTCOME_TRYV(site->target->start(unix_now()));
     announce(*site);
-    if (engine) {
+    if (engine && size_.agents) {
         std::ostringstream settings;
         settings << "role: forwarding_agent\nname: agent-" << number << "\nfailure_domain: " << domain_name(number)
                  << "\nvm: agent-" << number << "\npeer_address: \"" << at(ip, agent_port + behind_proxy)
@@ -210,16 +210,16 @@
 void fleet::publish_configuration() {
     ++version_;
     std::vector<platform::standin::published_route> routes{
-        {"/gen/", "engine", "streaming", false, 1, 20000, 1800},
-        {"/resume/", "engine", "streaming", true, 2, 20000, 1500},
-        {"/order/", "orders", "non_idempotent", false, 1, 3000, 250},
-        {"/read/", "orders", "idempotent", false, 2, 3000, 250},
+        {"/gen/", engine_service, "streaming", false, 1, 20000, 1800},
+        {"/resume/", engine_service, "streaming", true, 2, 20000, 1500},
+        {"/order/", plain_service, "non_idempotent", false, 1, 3000, 250},
+        {"/read/", plain_service, "idempotent", false, 2, 3000, 250},
     };
     // A route of each version shows which configuration an entry has in force.
     for (std::uint64_t version = 1; version <= version_; ++version)
-        routes.push_back({"/v" + std::to_string(version) + "/", "orders", "idempotent", false, 2, 3000, 250});
-    configuration_ =
-        platform::standin::encode_configuration(version_, caller_host, caller_key, routes, {"engine", "orders"});
+        routes.push_back({"/v" + std::to_string(version) + "/", plain_service, "idempotent", false, 2, 3000, 250});
+    configuration_ = platform::standin::encode_configuration(version_, caller_host, caller_key, routes,
+                                                             {engine_service, plain_service});
     store_.put_configuration(configuration_);
 }
 
--- a/Development/soak/fleet.h
+++ b/Development/soak/fleet.h
@@ -26,6 +26,8 @@
     std::size_t services{3};
     /// Entries that the settings of the others name as peers.
     std::size_t seeds{3};
+    /// Without agents, entries learn nothing of the engines but what the metadata store lists.
+    bool agents{true};
 };
 
 /// A daemon under test with what it needs to be started again.
@@ -112,6 +114,8 @@
     std::set<std::string> evacuated_;
 };
 
+inline constexpr char const* engine_service = "engine";
+inline constexpr char const* plain_service = "orders";
 inline constexpr char const* caller_host = "callers.example";
 inline constexpr char const* caller_key = "soak-key";
 
--- a/Development/soak/run_ledger.cpp
+++ b/Development/soak/run_ledger.cpp
@@ -20,15 +20,23 @@
 constexpr base::seconds limit_learning{2};
 constexpr double permitted_limit_share = 1.5;
 constexpr double permitted_beyond_limit = 5;
+// In each window, a service gets at most this share of its calls and this reserve as arrivals beyond the first of each
+// request. The calls are those of that window, the one before it or the one half a window before it, whichever has
+// most.
+constexpr base::seconds retry_window{10};
+constexpr double retry_share = 0.2;
+constexpr double retry_reserve = 54;
 
 } // namespace
 
-void run_ledger::begin_call(std::string const& request, bool may_run_again) {
+void run_ledger::begin_call(std::string const& request, bool may_run_again, std::string const& service) {
     calls_[request].may_run_again = may_run_again;
+    traffic_[service].calls.push_back(base::clock::now());
 }
 
-void run_ledger::begin_crashing_call(std::string const& request, bool may_run_again, std::string const& content) {
-    begin_call(request, may_run_again);
+void run_ledger::begin_crashing_call(std::string const& request, bool may_run_again, std::string const& service,
+                                     std::string const& content) {
+    begin_call(request, may_run_again, service);
     calls_[request].crashing_content = content;
 }
 
@@ -51,12 +59,46 @@
     return found == limited_.end() ? 0 : found->second.arrivals;
 }
 
+std::size_t run_ledger::retries(std::string const& service) const {
+    auto const found = traffic_.find(service);
+    return found == traffic_.end() ? 0 : found->second.retries;
+}
+
 void run_ledger::on_arrival(std::string const& request, platform::standin::target_standin const& target) {
-    auto const found = limited_.find(target.id());
+    auto const now = base::clock::now();
+    check_limit(request, target.id(), now);
+    auto const call = calls_.find(request);
+    if (call != calls_.end() && ++call->second.arrivals > 1)
+        check_retry_bound(request, target.where().service, now);
+}
+
+void run_ledger::check_retry_bound(std::string const& request, std::string const& service, base::time_point now) {
+    auto& traffic = traffic_[service];
+    auto const drop_before = [](auto& times, base::time_point first) {
+        while (!times.empty() && times.front() < first)
+            times.pop_front();
+    };
+    ++traffic.retries;
+    traffic.recent_retries.push_back(now);
+    drop_before(traffic.recent_retries, now - retry_window);
+    drop_before(traffic.calls, now - 2 * retry_window);
+    auto const calls_until = [&](base::time_point end) {
+        return std::ranges::count_if(traffic.calls, [&](auto at) { return at >= end - retry_window && at <= end; });
+    };
+    auto const calls =
+        std::max({calls_until(now), calls_until(now - retry_window / 2), calls_until(now - retry_window)});
+    auto const permitted = retry_share * static_cast<double>(calls) + retry_reserve;
+    if (static_cast<double>(traffic.recent_retries.size()) > permitted)
+        violation("retries of service " + service + " beyond their bound: " + request + " is number " +
+                  std::to_string(traffic.recent_retries.size()) + " in a window with " + std::to_string(calls) +
+                  " calls");
+}
+
+void run_ledger::check_limit(std::string const& request, std::string const& target_id, base::time_point now) {
+    auto const found = limited_.find(target_id);
     if (found == limited_.end())
         return;
     auto& limited = found->second;
-    auto const now = base::clock::now();
     ++limited.arrivals;
     limited.recent.push_back(now);
     while (now - limited.recent.front() > limit_window)
@@ -66,7 +108,7 @@
     bool const judged = now - limited.named_at > limit_learning + limit_window;
     if (judged && static_cast<double>(limited.recent.size()) > permitted)
         violation("a limit of " + std::to_string(limited.per_second) + " requests a second was exceeded: " + request +
-                  " at " + target.id() + " is number " + std::to_string(limited.recent.size()) + " in the window");
+                  " at " + target_id + " is number " + std::to_string(limited.recent.size()) + " in the window");
 }
 
 void run_ledger::on_run(std::string const& request, platform::standin::target_standin const& target, bool continued) {
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -25,6 +25,8 @@
 
 struct call_record {
     bool may_run_again{false};
+    /// Requests of this attempt that have reached targets.
+    std::uint32_t arrivals{0};
     /// Names the content of a request that crashes targets. Empty for others.
     std::string crashing_content;
     std::uint32_t runs{0};
@@ -38,9 +40,10 @@
 /// Collects what callers and targets see and holds it against the promises.
 class run_ledger : public platform::standin::target_observer {
 public:
-    void begin_call(std::string const& request, bool may_run_again);
+    void begin_call(std::string const& request, bool may_run_again, std::string const& service);
     /// Begins a call whose content crashes every target that runs it. Such calls are not counted.
-    void begin_crashing_call(std::string const& request, bool may_run_again, std::string const& content);
+    void begin_crashing_call(std::string const& request, bool may_run_again, std::string const& service,
+                             std::string const& content);
     void end_call(std::string const& request, call_end end);
     void on_arrival(std::string const& request, platform::standin::target_standin const& target) override;
     void on_run(std::string const& request, platform::standin::target_standin const& target, bool continued) override;
@@ -65,6 +68,8 @@
                     base::time_point from = base::clock::now());
     /// Requests that have reached the target since it named its limit.
     std::size_t arrivals_at_limited(std::string const& target_id) const;
+    /// Arrivals at the service beyond the first of each request, since the start.
+    std::size_t retries(std::string const& service) const;
 
     void violation(std::string text);
     std::vector<std::string> const& violations() const { return violations_; }
@@ -87,12 +92,22 @@
         std::deque<base::time_point> recent;
     };
 
+    /// Calls of a service and what targets got of them beyond the first arrival of each.
+    struct service_traffic {
+        std::deque<base::time_point> calls;
+        std::deque<base::time_point> recent_retries;
+        std::size_t retries{0};
+    };
+
     void check_crashing_run(call_record const& call, base::time_point now);
+    void check_limit(std::string const& request, std::string const& target_id, base::time_point now);
+    void check_retry_bound(std::string const& request, std::string const& service, base::time_point now);
 
     std::map<std::string, call_record> calls_;
     std::map<std::string, crashing_content> crashing_;
     std::map<std::string, base::time_point> closed_;
     std::map<std::string, limited_target> limited_;
+    std::map<std::string, service_traffic> traffic_;
     std::uint32_t disturbances_{0};
     base::time_point disturbed_until_{};
     std::vector<std::string> violations_;
--- a/Tests/process/planned_stop/planned_stop_test.cpp
+++ b/Tests/process/planned_stop/planned_stop_test.cpp
@@ -29,7 +29,7 @@
 
     /// Returns the status, or zero if the connection ended without an answer.
     unsigned call(platform_world& world, std::string const& id, std::string const& path) {
-        world.act([&] { world.ledger().begin_call(id, false); });
+        world.act([&] { world.ledger().begin_call(id, false, soak::plain_service); });
         auto const message =
             platform::standin::encode_call({id, soak::caller_host, path, soak::caller_key, 6000, 0, 0, {}});
         boost::system::error_code code;
--- a/Tests/soak/run_ledger_test.cpp
+++ b/Tests/soak/run_ledger_test.cpp
@@ -27,7 +27,7 @@
             ledger.record_crash("content", base::clock::now() - ago);
         for (int number = 0; number < runs; ++number) {
             auto const request = std::to_string(number);
-            ledger.begin_crashing_call(request, false, "content");
+            ledger.begin_crashing_call(request, false, "orders", "content");
             run(request);
         }
     }
@@ -36,6 +36,14 @@
         for (int number = 0; number < requests; ++number)
             ledger.on_arrival(std::to_string(number), target);
     }
+    void arrive_again(int calls, int retries) {
+        for (int number = 0; number < calls; ++number)
+            ledger.begin_call(std::to_string(number), true, "orders");
+        for (int number = 0; number < retries; ++number) {
+            ledger.on_arrival(std::to_string(number), target);
+            ledger.on_arrival(std::to_string(number), target);
+        }
+    }
     void run(std::string const& request, bool continued = false) { ledger.on_run(request, target, continued); }
 };
 
@@ -57,42 +65,42 @@
         std::vector<row> const table{
             {"runs once",
              [](world& played) {
-                 played.ledger.begin_call("a", false);
+                 played.ledger.begin_call("a", false, "orders");
                  played.run("a");
                  played.ledger.end_call("a", call_end::served);
              },
              false},
             {"runs twice",
              [](world& played) {
-                 played.ledger.begin_call("a", false);
+                 played.ledger.begin_call("a", false, "orders");
                  played.run("a");
                  played.run("a");
              },
              true},
             {"goes on from a copy",
              [](world& played) {
-                 played.ledger.begin_call("a", false);
+                 played.ledger.begin_call("a", false, "orders");
                  played.run("a");
                  played.run("a", true);
              },
              false},
             {"a read runs twice",
              [](world& played) {
-                 played.ledger.begin_call("a", true);
+                 played.ledger.begin_call("a", true, "orders");
                  played.run("a");
                  played.run("a");
              },
              false},
             {"refused after it ran",
              [](world& played) {
-                 played.ledger.begin_call("a", false);
+                 played.ledger.begin_call("a", false, "orders");
                  played.run("a");
                  played.ledger.end_call("a", call_end::refused);
              },
              true},
             {"runs after it was refused",
              [](world& played) {
-                 played.ledger.begin_call("a", false);
+                 played.ledger.begin_call("a", false, "orders");
                  played.ledger.end_call("a", call_end::refused);
                  played.run("a");
              },
@@ -113,24 +121,28 @@
             {"more than a limit permits", [](world& played) { played.arrive_at_limited(18, 10s); }, true},
             {"more than a limit that entries cannot know yet", [](world& played) { played.arrive_at_limited(18, 5s); },
              false},
+            {"as many retries as the bound of the service permits", [](world& played) { played.arrive_again(100, 74); },
+             false},
+            {"more retries than the bound of the service permits", [](world& played) { played.arrive_again(100, 75); },
+             true},
             {"nobody sent it", [](world& played) { played.run("a"); }, true},
             {"at a target that left",
              [](world& played) {
-                 played.ledger.begin_call("a", false);
+                 played.ledger.begin_call("a", false, "orders");
                  played.ledger.close_target(played.target.id(), base::clock::now() - 10s);
                  played.run("a");
              },
              true},
             {"at a target that leaves",
              [](world& played) {
-                 played.ledger.begin_call("a", false);
+                 played.ledger.begin_call("a", false, "orders");
                  played.ledger.close_target(played.target.id(), base::clock::now() - 1s);
                  played.run("a");
              },
              false},
             {"at a target that left while the store was harmed",
              [](world& played) {
-                 played.ledger.begin_call("a", false);
+                 played.ledger.begin_call("a", false, "orders");
                  played.ledger.begin_disturbance();
                  played.ledger.close_target(played.target.id(), base::clock::now() - 10s);
                  played.run("a");
--- a/Tests/support/platform_process/platform_world.cpp
+++ b/Tests/support/platform_process/platform_world.cpp
@@ -46,7 +46,10 @@
 }
 
 http_answer platform_world::call(caller_request const& request) {
-    act([&] { ledger_.begin_call(request.id, request.may_run_again); });
+    act([&] {
+        ledger_.begin_call(request.id, request.may_run_again,
+                           request.prompt_tokens > 0 ? soak::engine_service : soak::plain_service);
+    });
     auto const message =
         platform::standin::encode_call({request.id, soak::caller_host, request.path, soak::caller_key,
                                         deadline_milliseconds, request.prompt_tokens, 400, request.body});
