Use no part of a bound while the number of entries is not known

Callers' failed reads were repeated beyond the bound of their service: 131 retries in a window of 10 s with 381 calls, where 130 are permitted. An entry that no agent had told the number of entries divided the reserve by one, so that each of four entries used the whole of it.

A number that nobody has counted is now no number instead of one: the reserve, the slots of engines without a report and permits are then not used, or used down to their floor. The permits had that rule already. Entries that the settings name as peers count the entries that are connected to them, so that the reserve is also used where there are no agents; an entry that is connected to no other one does not count.

--- a/Libraries/forwarding/entry_count.cpp
+++ b/Libraries/forwarding/entry_count.cpp
@@ -5,6 +5,8 @@
 namespace cyclamenledge::forwarding {
 
 void entry_count::observe(std::uint32_t count, base::time_point now) {
+    if (count == 0)
+        return;
     while (!observations_.empty() && observations_.back().count <= count)
         observations_.pop_back();
     observations_.push_back({count, now});
@@ -12,14 +14,12 @@
         observations_.pop_front();
 }
 
-std::uint32_t entry_count::value(base::time_point now) const {
+std::optional<std::uint32_t> entry_count::value(base::time_point now) const {
     auto const current =
         std::ranges::find_if(observations_, [now](auto const& seen) { return now - seen.at <= lifetime; });
-    return current == observations_.end() ? 1 : std::max(1U, current->count);
-}
-
-bool entry_count::known(base::time_point now) const {
-    return !observations_.empty() && now - observations_.back().at <= lifetime;
+    if (current == observations_.end())
+        return std::nullopt;
+    return current->count;
 }
 
 } // namespace cyclamenledge::forwarding
--- a/Libraries/forwarding/entry_count.h
+++ b/Libraries/forwarding/entry_count.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace cyclamenledge::forwarding {
 
@@ -15,10 +16,8 @@
     static constexpr base::seconds lifetime{2 * 3600};
 
     void observe(std::uint32_t count, base::time_point now);
-    /// At least one.
-    std::uint32_t value(base::time_point now) const;
-    /// Whether any number was observed within the lifetime.
-    bool known(base::time_point now) const;
+    /// No value if no entry was observed within the lifetime. Nothing may then be divided: any part may be too large.
+    std::optional<std::uint32_t> value(base::time_point now) const;
 
 private:
     struct observation {
--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -98,7 +98,7 @@
 }
 
 void fleet_view::update_report(std::string const& address, engine_report const& report, base::time_point now) {
-    entries_.observe(report.entries, now);
+    observe_entries(report.entries, now);
     for (auto& [id, target] : targets_) {
         if (target.record.address != address || target.record.started_at != report.started_at)
             continue;
@@ -165,7 +165,8 @@
         // Until its agent has reported the requests sent to it, a new engine looks idle to all entries at once.
         if (!target.report && now - target.seen_at < first_report_timeout)
             return false;
-        return target.open_requests < std::max(1.0, unreported_slot_share * engine->slots / count_entries(now));
+        auto const entries = count_entries(now);
+        return target.open_requests < std::max(1.0, entries ? unreported_slot_share * engine->slots / *entries : 0);
     }
     return room(target, now).fits_prompt(size.expected_memory(), engine->slots);
 }
@@ -215,8 +216,8 @@
     auto const rate = permitted_rate(target, now);
     if (!rate)
         return;
-    // Without a report, the number of entries is not known, and any part of the rate may be too much.
-    auto const equal_part = entries_.known(now) ? *rate / count_entries(now) : 0;
+    auto const entries = count_entries(now);
+    auto const equal_part = entries ? *rate / *entries : 0;
     // A target is cold for about a second, too short to request permits. Equal parts waste little in that time.
     if (!target.limit.per_second())
         target.permits.update(equal_part, own_permits::always, now, random_);
@@ -242,7 +243,8 @@
     found.any = true;
     found.permit_expected = found.permit_expected || permits.expects_permit(now);
     found.available_at = std::min(found.available_at, permits.available_at(now));
-    found.permits_per_second += permitted_rate(*item.target, now).value_or(0) / count_entries(now);
+    if (auto const entries = count_entries(now))
+        found.permits_per_second += permitted_rate(*item.target, now).value_or(0) / *entries;
     if (permits.may_ask(now) && (found.best.target == nullptr || item.score < found.best.score))
         found.best = item;
 }
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -184,8 +184,10 @@
     /// Whether a copy of a request's memory at the target may be used.
     bool may_receive(std::string const& id, base::time_point now) const;
     bool evacuated(std::string const& failure_domain) const { return evacuated_.contains(failure_domain); }
-    /// Number of entries that share the targets, as reported by the agents.
-    std::uint32_t count_entries(base::time_point now) const { return entries_.value(now); }
+    /// Another process counts this many entries.
+    void observe_entries(std::uint32_t count, base::time_point now) { entries_.observe(count, now); }
+    /// Number of entries that share the targets. No value while no process has counted them.
+    std::optional<std::uint32_t> count_entries(base::time_point now) const { return entries_.value(now); }
     std::string const& region_of(std::string const& failure_domain) const;
     /// Discards removed targets after removed_lifetime.
     void expire(base::time_point now);
--- a/Libraries/forwarding/local_retry_budget.cpp
+++ b/Libraries/forwarding/local_retry_budget.cpp
@@ -1,7 +1,5 @@
 #include "forwarding/local_retry_budget.h"
 
-#include <algorithm>
-
 namespace cyclamenledge::forwarding {
 
 void local_retry_budget::drop_expired(base::time_point now) {
@@ -18,18 +16,18 @@
     requests_.push_back(now);
 }
 
-double local_retry_budget::reserve_part(std::uint32_t entries, base::time_point now) const {
+double local_retry_budget::reserve_part(std::optional<std::uint32_t> entries, base::time_point now) const {
     // A predecessor of this process may have used the part shortly before it ended.
-    if (now - process_started_ < bound_.window)
+    if (!entries || now - process_started_ < bound_.window)
         return 0;
-    return bound_.reserve / std::max(1U, entries);
+    return bound_.reserve / *entries;
 }
 
-double local_retry_budget::allowed(std::uint32_t entries, base::time_point now) const {
+double local_retry_budget::allowed(std::optional<std::uint32_t> entries, base::time_point now) const {
     return used_part * (bound_.share * static_cast<double>(requests_.size()) + reserve_part(entries, now));
 }
 
-bool local_retry_budget::try_spend(std::uint32_t entries, base::time_point now) {
+bool local_retry_budget::try_spend(std::optional<std::uint32_t> entries, base::time_point now) {
     drop_expired(now);
     if (static_cast<double>(spent_.size()) + 1 > allowed(entries, now))
         return false;
@@ -42,7 +40,7 @@
     spent_.push_back(now);
 }
 
-retry_budget_use local_retry_budget::use(std::uint32_t entries, base::time_point now) {
+retry_budget_use local_retry_budget::use(std::optional<std::uint32_t> entries, base::time_point now) {
     drop_expired(now);
     return {requests_.size(), spent_.size(), allowed(entries, now)};
 }
--- a/Libraries/forwarding/local_retry_budget.h
+++ b/Libraries/forwarding/local_retry_budget.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace cyclamenledge::forwarding {
 
@@ -25,7 +26,8 @@
 };
 
 /// This entry's part of the retry budget of one service. Each entry uses at most the share of its own requests and an
-/// equal part of the reserve, so that the total bound holds without communication, also during a partition.
+/// equal part of the reserve, so that the total bound holds without communication, also during a partition. While the
+/// number of entries is not known, the entry has no part of the reserve.
 class local_retry_budget {
 public:
     /// Share of the bound that is used. The rest covers requests that the entries count in different windows.
@@ -37,15 +39,15 @@
 
     void count_request(base::time_point now);
     /// Spends one retry if the budget of the current window permits it.
-    bool try_spend(std::uint32_t entries, base::time_point now);
+    bool try_spend(std::optional<std::uint32_t> entries, base::time_point now);
     /// Spends a retry that is made regardless of the budget, such as one that continues a running stream.
     void spend(base::time_point now);
-    retry_budget_use use(std::uint32_t entries, base::time_point now);
+    retry_budget_use use(std::optional<std::uint32_t> entries, base::time_point now);
 
 private:
-    double allowed(std::uint32_t entries, base::time_point now) const;
+    double allowed(std::optional<std::uint32_t> entries, base::time_point now) const;
     void drop_expired(base::time_point now);
-    double reserve_part(std::uint32_t entries, base::time_point now) const;
+    double reserve_part(std::optional<std::uint32_t> entries, base::time_point now) const;
 
     retry_bound bound_;
     base::time_point process_started_;
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -201,7 +201,7 @@
     content.reading = report.reading;
     content.used_tokens = report.used_tokens;
     content.total_tokens = report.total_tokens;
-    content.entries = entry_count_.value(base::clock::now());
+    content.entries = entry_count_.value(base::clock::now()).value_or(0);
     content.unread_tokens = report.unread_tokens;
     content.reading_pace = static_cast<float>(report.reading_pace);
     content.committed_tokens = report.committed_tokens;
--- a/Libraries/forwarding_entry/peer_controller.cpp
+++ b/Libraries/forwarding_entry/peer_controller.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace cyclamenledge::forwarding_entry {
@@ -79,6 +81,7 @@
         timer.expires_after(request_interval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         auto const now = base::clock::now();
+        count_entries();
         if (!store_.is_current(now))
             request_changes();
         if (now - last_relay_at_ >= relay_interval)
@@ -86,6 +89,20 @@
     }
 }
 
+void peer_controller::count_entries() {
+    if (uses_relays_)
+        return;
+    // An entry that has just reconnected may still have its earlier connection.
+    std::set<std::string_view> others;
+    for (auto const& connection : hub_.ready_connections()) {
+        if (connection->peer().role == hub_.self().role)
+            others.insert(connection->peer().process);
+    }
+    // An entry that is cut off from all others must not take the whole of what they divide.
+    if (!others.empty())
+        board_.fleet.observe_entries(static_cast<std::uint32_t>(others.size()) + 1, base::clock::now());
+}
+
 wire::schema::PublicationRequestT peer_controller::make_request() const {
     auto const after = std::max(store_.confirmed_revision(), received_revision_);
     wire::schema::PublicationRequestT request;
--- a/Libraries/forwarding_entry/peer_controller.h
+++ b/Libraries/forwarding_entry/peer_controller.h
@@ -38,6 +38,8 @@
     /// Sends the configuration to a peer that has an older one, because the store may have come back with that.
     void send_newer_configuration(link::connection& peer, std::uint64_t version);
     wire::schema::PublicationRequestT make_request() const;
+    /// Every entry connects to the entries that the settings name as peers, so these can count all entries.
+    void count_entries();
     void on_connected(link::connection& peer) override;
     void on_disconnected(link::connection& peer, base::error const& reason) override;
     void apply_changes(wire::schema::PublicationsT const& message, std::string const& peer);
--- a/Libraries/forwarding_entry/retry_gate.cpp
+++ b/Libraries/forwarding_entry/retry_gate.cpp
@@ -40,7 +40,7 @@
                        {"charged", decision.reason},
                        {"retries", decision.budget.spent},
                        {"retries_allowed", std::lround(decision.budget.allowed)},
-                       {"entries", decision.entries}});
+                       {"entries", decision.entries.value_or(0)}});
 }
 
 } // namespace cyclamenledge::forwarding_entry
--- a/Libraries/forwarding_entry/retry_gate.h
+++ b/Libraries/forwarding_entry/retry_gate.h
@@ -6,6 +6,7 @@
 #include "log/event_kind.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,7 +28,7 @@
     std::string_view reason{retry_reason::final_outcome};
     /// The budget after the decision, and the number of entries that divide its reserve.
     forwarding::retry_budget_use budget{};
-    std::uint32_t entries{0};
+    std::optional<std::uint32_t> entries{};
 };
 
 /// Decides whether a request whose last attempt has ended is sent to another target, and spends the retry budget.
