Read on after the end of a connection, so that a crossing request resets no answer

What callers saw: an answer that had been sent broke off with a reset, if the caller's next request crossed the close of the connection. A connection over the connection limit was reset instead of closed.

Cause: session::close() ended the sending direction and closed the socket at once. With unread bytes, or with bytes that come after it, the kernel answers with a reset and drops what it has not delivered yet.

server::serve now ends the sending direction, then reads and drops until the caller closes too, for at most 1 s and 1 MiB (session::finish). Up to 64 connections over the limit are closed in the same way; those beyond are reset, because more would exhaust the process. session::close() stays for breaking an answer off.

--- a/Libraries/http/server.cpp
+++ b/Libraries/http/server.cpp
@@ -22,6 +22,8 @@
 
 // Pause after a failed accept, for example when the process is out of file descriptors.
 constexpr base::milliseconds accept_retry_pause{50};
+// Connections over the limit that may wait for their callers to close. Those beyond are reset.
+constexpr std::uint32_t maximum_refused_sessions = 64;
 
 bool is_input_error(base::error_kind kind) {
     return kind != base::error_kind::link_lost && kind != base::error_kind::io_failed;
@@ -62,11 +64,13 @@
 }
 
 void server::start_session(asio::ip::tcp::socket socket) {
-    if (open_sessions_ >= limits_.connections)
-        return; // The socket closes here; more connections would exhaust the process.
+    // More connections would exhaust the process.
+    bool const over_limit = open_sessions_ >= limits_.connections;
+    if (over_limit && refused_sessions_ >= maximum_refused_sessions)
+        return;
     session_pointer const client{new session{std::move(socket), limits_}};
-    ++open_sessions_;
-    asio::co_spawn(client->executor(), serve(client), asio::detached);
+    ++(over_limit ? refused_sessions_ : open_sessions_);
+    asio::co_spawn(client->executor(), over_limit ? refuse(client) : serve(client), asio::detached);
 }
 
 asio::awaitable<void> server::accept_sessions() {
@@ -101,8 +105,13 @@
         if (stopping_ || !client->keep_alive())
             break;
     }
-    client->close();
+    co_await client->finish();
     --open_sessions_;
 }
 
+asio::awaitable<void> server::refuse(session_pointer client) {
+    co_await client->finish();
+    --refused_sessions_;
+}
+
 } // namespace cyclamenledge::http
--- a/Libraries/http/server.h
+++ b/Libraries/http/server.h
@@ -43,12 +43,15 @@
     void accept_waiting_connections();
     void start_session(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serve(session_pointer client);
+    /// Closes a connection over the limit without a reset.
+    boost::asio::awaitable<void> refuse(session_pointer client);
 
     boost::asio::io_context& context_;
     server_limits limits_;
     request_handler& handler_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::atomic<std::uint32_t> open_sessions_{0};
+    std::atomic<std::uint32_t> refused_sessions_{0};
     std::atomic<bool> stopping_{false};
 };
 
--- a/Libraries/http/server_limits.h
+++ b/Libraries/http/server_limits.h
@@ -16,6 +16,9 @@
     base::milliseconds write_timeout{60000};
     base::milliseconds idle_timeout{75000};
     std::uint32_t connections{20000};
+    /// How long a closed connection is still read, so that the peer's unread bytes do not reset it.
+    base::milliseconds linger_timeout{1000};
+    std::size_t linger_bytes{std::size_t{1024} * 1024};
 };
 
 } // namespace cyclamenledge::http
--- a/Libraries/http/session.cpp
+++ b/Libraries/http/session.cpp
@@ -170,6 +170,24 @@
         });
 }
 
+asio::awaitable<void> session::finish() {
+    constexpr std::size_t read_bytes = 4096;
+    if (!stream_.socket().is_open())
+        co_return;
+    beast::error_code code;
+    stream_.socket().cancel(code);
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, code);
+    stream_.expires_after(limits_.linger_timeout);
+    std::size_t dropped = 0;
+    while (!code && dropped < limits_.linger_bytes) {
+        buffer_.clear();
+        auto [read_code, count] = co_await stream_.async_read_some(buffer_.prepare(read_bytes), use_tuple);
+        code = read_code;
+        dropped += count;
+    }
+    stream_.close();
+}
+
 void session::close() {
     beast::error_code ignored;
     stream_.socket().cancel(ignored);
--- a/Libraries/http/session.h
+++ b/Libraries/http/session.h
@@ -35,7 +35,11 @@
 
     bool keep_alive() const { return keep_alive_; }
     void end_after_answer() { keep_alive_ = false; }
+    /// Closes at once. The peer may lose what it has not received yet.
     void close();
+    /// Ends the sending direction, then drops what the peer still sends until it closes too or the limits are reached.
+    /// Closing with unread bytes would reset the connection and take away answers that are on their way.
+    boost::asio::awaitable<void> finish();
     boost::asio::any_io_executor executor() { return stream_.get_executor(); }
 
 private:
