Close idle kept connections when a planned stop begins to refuse new ones

What callers saw: a kept connection stayed open through the stop of its process, because it learned of the stop only with its next answer. A call that its caller sent when the process ended was lost.

server::stop_accepting now ends the sessions that wait for another request, after the connections that waited to be accepted. A connection that has carried no request stays open, because its first one may be on its way; end_sessions ends it too. Answers under way, and requests that have begun to arrive, are finished first.

idle_kept_connection_is_closed_when_the_server_stops_accepting failed before: 'Expected: End of file, Actual: Resource temporarily unavailable' (the connection was open).

--- a/Libraries/http/server.cpp
+++ b/Libraries/http/server.cpp
@@ -49,9 +49,20 @@
         accept_waiting_connections();
         boost::system::error_code ignored;
         acceptor_.close(ignored);
+        end_idle_sessions(false);
     });
 }
 
+void server::end_sessions() {
+    asio::post(acceptor_.get_executor(), [this] { end_idle_sessions(true); });
+}
+
+void server::end_idle_sessions(bool waive_first_request) {
+    std::scoped_lock const lock{sessions_mutex_};
+    for (auto const& client : sessions_)
+        asio::post(client->executor(), [client, waive_first_request] { client->end_when_idle(waive_first_request); });
+}
+
 void server::accept_waiting_connections() {
     boost::system::error_code code;
     acceptor_.non_blocking(true, code);
@@ -70,6 +81,10 @@
         return;
     session_pointer const client{new session{std::move(socket), limits_}};
     ++(over_limit ? refused_sessions_ : open_sessions_);
+    if (!over_limit) {
+        std::scoped_lock const lock{sessions_mutex_};
+        sessions_.insert(client);
+    }
     asio::co_spawn(client->executor(), over_limit ? refuse(client) : serve(client), asio::detached);
 }
 
@@ -106,6 +121,10 @@
             break;
     }
     co_await client->finish();
+    {
+        std::scoped_lock const lock{sessions_mutex_};
+        sessions_.erase(client);
+    }
     --open_sessions_;
 }
 
--- a/Libraries/http/server.h
+++ b/Libraries/http/server.h
@@ -6,6 +6,8 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
+#include <mutex>
+#include <set>
 #include <string>
 
 namespace cyclamenledge::http {
@@ -29,8 +31,11 @@
 
     /// Binds the address (IP:PORT) and starts to accept.
     base::result<void> listen(std::string const& address);
-    /// Closes the listening socket. Open sessions end after their current request.
+    /// Closes the listening socket. Open sessions end after their current request, idle ones at once. The first request
+    /// of a connection that was accepted may be on its way, so it is still served.
     void stop_accepting();
+    /// Ends the sessions that wait for their first request too. Only after stop_accepting.
+    void end_sessions();
 
     /// Puts other limits in force for the following requests. Only for servers whose sessions run on one thread.
     void set_limits(server_limits const& limits) { limits_ = limits; }
@@ -43,6 +48,7 @@
     void accept_waiting_connections();
     void start_session(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serve(session_pointer client);
+    void end_idle_sessions(bool waive_first_request);
     /// Closes a connection over the limit without a reset.
     boost::asio::awaitable<void> refuse(session_pointer client);
 
@@ -50,6 +56,9 @@
     server_limits limits_;
     request_handler& handler_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    // Leaf lock: no other lock is taken while it is held.
+    std::mutex sessions_mutex_;
+    std::set<session_pointer> sessions_;
     std::atomic<std::uint32_t> open_sessions_{0};
     std::atomic<std::uint32_t> refused_sessions_{0};
     std::atomic<bool> stopping_{false};
--- a/Libraries/http/session.cpp
+++ b/Libraries/http/session.cpp
@@ -58,16 +58,27 @@
     parser.header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
     parser.body_limit(limits_.body_bytes);
 
-    if (requests_ > 0 && buffer_.size() == 0) {
-        // Waits for the next request of a kept connection; closing an idle one is no error of the client.
-        stream_.expires_after(limits_.idle_timeout);
+    progress_ = buffer_.size() == 0 ? progress::nothing : progress::part_of_request;
+    bool const first = requests_ == 0;
+    if (first)
+        limit_read(limits_.header_timeout);
+    if (progress_ == progress::nothing) {
+        if (ends_idle())
+            co_return base::make_error(base::error_kind::link_lost, "the server ends");
+        // Closing an idle kept connection is no error of the client.
+        if (!first)
+            stream_.expires_after(limits_.idle_timeout);
         auto [code, count] = co_await stream_.async_read_some(buffer_.prepare(1), use_tuple);
+        if (code && end_read_limit())
+            co_return read_error(beast::error::timeout);
         if (code)
             co_return base::make_error(base::error_kind::link_lost, "the connection was idle");
         buffer_.commit(count);
     }
+    progress_ = progress::part_of_request;
     stream_.expires_never();
-    limit_read(limits_.header_timeout);
+    if (!first)
+        limit_read(limits_.header_timeout);
     auto [header_code, header_count] = co_await beast_http::async_read_header(stream_, buffer_, parser, use_tuple);
     if (end_read_limit())
         co_return read_error(beast::error::timeout);
@@ -80,10 +91,19 @@
     if (body_code)
         co_return read_error(body_code);
     ++requests_;
-    keep_alive_ = parser.get().keep_alive();
+    progress_ = progress::whole_request;
+    keep_alive_ = parser.get().keep_alive() && !ending_;
     co_return parser.release();
 }
 
+void session::end_when_idle(bool waive_first_request) {
+    ending_ = true;
+    waive_first_request_ = waive_first_request_ || waive_first_request;
+    keep_alive_ = false;
+    if (progress_ == progress::nothing && ends_idle())
+        stream_.cancel();
+}
+
 // The time limit of tcp_stream closes the socket, after which a late client could not be answered.
 void session::limit_read(base::milliseconds longest) {
     read_expired_ = false;
--- a/Libraries/http/session.h
+++ b/Libraries/http/session.h
@@ -35,6 +35,9 @@
 
     bool keep_alive() const { return keep_alive_; }
     void end_after_answer() { keep_alive_ = false; }
+    /// The session ends after the request that it serves, or at once while it waits for another one. A new connection
+    /// whose first request has not begun to arrive is kept on, unless that is waived.
+    void end_when_idle(bool waive_first_request);
     /// Closes at once. The peer may lose what it has not received yet.
     void close();
     /// Ends the sending direction, then drops what the peer still sends until it closes too or the limits are reached.
@@ -43,6 +46,10 @@
     boost::asio::any_io_executor executor() { return stream_.get_executor(); }
 
 private:
+    /// What the client has sent since the last answer.
+    enum class progress : std::uint8_t { nothing, part_of_request, whole_request };
+
+    bool ends_idle() const { return waive_first_request_ || (ending_ && requests_ > 0); }
     void limit_read(base::milliseconds longest);
     bool end_read_limit();
 
@@ -54,6 +61,9 @@
     boost::beast::flat_buffer buffer_;
     server_limits const& limits_;
     bool keep_alive_{true};
+    progress progress_{progress::nothing};
+    bool ending_{false};
+    bool waive_first_request_{false};
     std::uint64_t requests_{0};
 };
 
--- a/Tests/http/server_test.cpp
+++ b/Tests/http/server_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(waiting_connections_are_served_when_the_server_stops_accepting);
     CPPUNIT_TEST(answer_outlives_a_request_that_crosses_the_close);
     CPPUNIT_TEST(connection_over_the_limit_is_not_reset);
+    CPPUNIT_TEST(idle_kept_connection_is_closed_when_the_server_stops_accepting);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -127,6 +128,28 @@
         CPPUNIT_ASSERT_EQUAL(std::string{}, refused.read_available(code));
         CPPUNIT_ASSERT_EQUAL(std::string{"End of file"}, code.message());
     }
+
+    // Guards against callers that send requests over a kept connection to a process that is about to end.
+    void idle_kept_connection_is_closed_when_the_server_stops_accepting() {
+        asio::io_context context;
+        echo_handler handler;
+        http::server server{context, {}, handler};
+        CPPUNIT_ASSERT(server.listen(address));
+        caller kept;
+        caller fresh;
+        kept.send(call_with(""));
+        context.run_for(100ms);
+        server.stop_accepting();
+        context.run_for(100ms);
+        boost::system::error_code code;
+        CPPUNIT_ASSERT(kept.read_available(code).starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"End of file"}, code.message());
+        // The first request of a connection that was accepted may be on its way.
+        fresh.send(call_with(""));
+        context.run_for(100ms);
+        CPPUNIT_ASSERT(fresh.read_available(code).starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_EQUAL(std::string{"End of file"}, code.message());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_test);
