End a stalled stream's run only when another one is certain

Callers lost resumable streams whose engine made no event for a while, or none before the objective, though it would have gone on.

Cause: event_timeout closed the run before anyone had asked for the budget, for a target with room or whether the backup may receive. Where the answer was no, the stream was lost.

Evidence: stream_without_a_successor_waits_for_its_target failed before with "Expected: 200, Actual: 0, row: pause, no second engine".

A run is now read until the deadline, and watched beside (rule_for_stall). A replacement has its budget, placement and connection before the run is ended. From a replica the stream resumes beside the stalled run, as in a move: the successor takes over with its first event, and a refused one leaves the run as it was. A copy that has not taken over is cancelled only while another run is left.

--- a/Libraries/forwarding/attempt_policy.cpp
+++ b/Libraries/forwarding/attempt_policy.cpp
@@ -2,6 +2,24 @@
 
 namespace cyclamenledge::forwarding {
 
+namespace {
+
+// An engine sends an event every 30 to 75 ms. After a gap of this length the engine counts as unresponsive for a stream
+// that can resume elsewhere; a shorter timeout would interrupt requests that were preempted.
+constexpr base::milliseconds stall_timeout_with_backup{900};
+constexpr base::milliseconds stall_timeout_when_resumable{1500};
+
+} // namespace
+
+std::optional<stall_rule> rule_for_stall(run_facts const& facts) {
+    if (facts.received_event && facts.has_backup)
+        return stall_rule{stall_action::resume_from_backup, stall_timeout_with_backup};
+    if (!facts.may_repeat)
+        return std::nullopt;
+    return stall_rule{stall_action::replace,
+                      facts.received_event ? stall_timeout_when_resumable : facts.latency_objective};
+}
+
 repetition may_repeat(attempt_facts const& facts) {
     if (facts.crashes_targets)
         return repetition::none;
--- a/Libraries/forwarding/attempt_policy.h
+++ b/Libraries/forwarding/attempt_policy.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "base/time.h"
+
 #include <cstdint>
+#include <optional>
 
 namespace cyclamenledge::forwarding {
 
@@ -49,6 +52,33 @@
     fail,
 };
 
+/// The run of a stream from which the caller waits for an event; input for the decision what to do about a stall.
+struct run_facts {
+    bool received_event{false};
+    /// Another target holds a replica of the run's memory.
+    bool has_backup{false};
+    /// The policy allows another run at another target.
+    bool may_repeat{false};
+    base::milliseconds latency_objective{0};
+};
+
+enum class stall_action : std::uint8_t {
+    /// A run that resumes from the replica is started beside the stalled one, which goes on until the other one has
+    /// made an event.
+    resume_from_backup,
+    /// The run is ended for one at another target, as soon as that is certain to be sent.
+    replace,
+};
+
+struct stall_rule {
+    stall_action action{stall_action::replace};
+    /// Time without progress after which it applies.
+    base::milliseconds after{0};
+};
+
+/// Returns what to do about a run that makes no progress. No value if there is nothing to do but wait.
+std::optional<stall_rule> rule_for_stall(run_facts const& facts);
+
 /// Number of unreachable targets after which the request fails.
 inline constexpr std::uint32_t maximum_unreachable_targets = 4;
 
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -36,12 +36,14 @@
 // is useless.
 constexpr int objectives_until_abandoned = 4;
 constexpr base::milliseconds abandon_margin{700};
-// An engine sends an event every 30 to 75 ms. After a gap of this length the engine counts as unresponsive for a stream
-// that can resume elsewhere; a shorter timeout would interrupt requests that were preempted.
-constexpr base::milliseconds stall_timeout_with_backup{900};
-constexpr base::milliseconds stall_timeout_when_resumable{1500};
 // An engine admits a run that resumes from a copy first. Without an event after this time the run is cancelled.
 constexpr base::milliseconds takeover_timeout{900};
+// The same for a run that resumes from a replica beside a stalled one, which may never make an event.
+constexpr base::milliseconds takeover_timeout_when_stalled{2000};
+// How often a stall is looked at again while nothing can be done about it.
+constexpr base::milliseconds stall_check_interval{250};
+// Reason of a run that was ended for its replacement.
+constexpr std::string_view replaced_reason = "slow";
 constexpr base::milliseconds copy_timeout{2000};
 constexpr base::milliseconds move_retry_pause{40};
 constexpr int maximum_move_attempts = 40;
@@ -101,8 +103,8 @@
     co_await finish();
 }
 
-asio::awaitable<void> stream_exchange::start_first_run() {
-    auto need = make_placement_need(request_, tried_targets_);
+placement_need stream_exchange::make_need(std::vector<std::string> const& excluded) {
+    auto need = make_placement_need(request_, excluded);
     need.on_time_until = request_.arrived + request_.route->latency_objective - first_event_reserve;
     need.give_up_at =
         std::min<base::time_point>(request_.deadline,
@@ -110,6 +112,11 @@
         abandon_margin;
     need.overcommit_at = need.give_up_at - overcommit_lead;
     need.is_cancelled = [this] { return caller_left_; };
+    return need;
+}
+
+asio::awaitable<void> stream_exchange::start_first_run() {
+    auto need = make_need(tried_targets_);
     auto const target = co_await parts_.placements.place(std::move(need));
     if (!target) {
         // The answer may state that the request has not run only if no earlier target may have run it.
@@ -126,7 +133,12 @@
         parts_.placements.withdraw(target.value(), request_.caller.id);
         co_return;
     }
-    auto const started = make_run(relay_.start_run(), target.value());
+    start_run_at(target.value(), nullptr);
+}
+
+void stream_exchange::start_run_at(std::string const& target, http::upstream_pointer connection) {
+    auto const started = make_run(relay_.start_run(), target);
+    started->prepared_connection = std::move(connection);
     if (relay_.last_event())
         started->context.resume_after = relay_.last_event();
     choose_backup(*started);
@@ -165,6 +177,8 @@
 
 void stream_exchange::launch(stream_run_pointer const& started) {
     runs_.push_back(started);
+    started->stall_timer.emplace(parts_.context);
+    asio::co_spawn(parts_.context, watch_for_stall(self_pointer{this}, started), asio::detached);
     asio::co_spawn(
         parts_.context,
         [self = self_pointer{this}, started]() -> asio::awaitable<void> { co_await self->serve_run(started); },
@@ -179,6 +193,9 @@
 asio::awaitable<void> stream_exchange::serve_run(stream_run_pointer current) {
     auto result = co_await send_and_read(current);
     current->ended = true;
+    current->stall_timer->cancel();
+    if (replacement_ && result.outcome == send_outcome::unknown)
+        result.reason = replaced_reason;
     current->connection.reset();
     std::erase(runs_, current);
     if (result.outcome == send_outcome::not_sent)
@@ -206,30 +223,35 @@
     if (result.reason == "other_target")
         parts_.board.fleet.mark_leaving(current->target);
     on_end(*current, std::move(result));
+    discard_replacement();
     takeover_timer_.cancel();
     wake();
 }
 
 asio::awaitable<send_result> stream_exchange::send_and_read(stream_run_pointer current) {
-    auto connected = co_await parts_.connections.acquire(current->address, target_connections::connect_timeout,
-                                                         request_.may_run_again() ? unlimited_idle_time
-                                                                                  : maximum_idle_unless_repeatable);
-    if (!connected) {
-        parts_.placements.record_outcome(current->target, forwarding::target_outcome::unreachable);
-        co_return send_result{send_outcome::not_sent, connected.error().message, {}};
+    auto connection = std::exchange(current->prepared_connection, nullptr);
+    if (!connection) {
+        auto const connected = co_await parts_.connections.acquire(
+            current->address, target_connections::connect_timeout,
+            request_.may_run_again() ? unlimited_idle_time : maximum_idle_unless_repeatable);
+        if (!connected) {
+            parts_.placements.record_outcome(current->target, forwarding::target_outcome::unreachable);
+            co_return send_result{send_outcome::not_sent, connected.error().message, {}};
+        }
+        connection = connected.value();
     }
     auto const left = request_.time_left(base::clock::now());
     bool const still_allowed = parts_.board.fleet.may_receive(current->target, base::clock::now());
     if (current->cancelled || caller_left_ || left.count() <= 0 || !still_allowed) {
-        parts_.connections.release(current->address, connected.value(), {});
+        parts_.connections.release(current->address, connection, {});
         co_return send_result{send_outcome::not_sent, "no longer wanted", {}};
     }
     if (parts_.suspects.refuses(request_.fingerprint)) {
-        parts_.connections.release(current->address, connected.value(), {});
+        parts_.connections.release(current->address, connection, {});
         crashes_targets_ = true;
         co_return send_result{send_outcome::not_sent, std::string{base::name_of(base::error_kind::poison_request)}, {}};
     }
-    current->connection = connected.value();
+    current->connection = std::move(connection);
     current->context.time_left = left;
     current->sent = true;
     current->sent_at = base::clock::now();
@@ -239,7 +261,7 @@
         co_return make_unknown_result(sent.error());
     // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
     expected_answer expected{request_.caller.id, true, maximum_answer_bytes,
-                             [this, current] { return event_timeout(*current); }};
+                             [this] { return request_.time_left(base::clock::now()); }};
     auto const head = co_await read_matching_head(current->connection, std::move(expected));
     if (!head) {
         current->connection->close();
@@ -254,7 +276,7 @@
     parts_.permits.on_answer(current->target, request_.caller.id, facts);
     bool const success = head.result_int() == 200;
     if (!success) {
-        auto body = co_await connection->read_whole_body(maximum_answer_bytes, event_timeout(*current));
+        auto body = co_await connection->read_whole_body(maximum_answer_bytes, request_.time_left(base::clock::now()));
         if (!body)
             co_return make_unknown_result(body.error());
         parts_.connections.release(current->address, connection, facts.idle_timeout);
@@ -271,7 +293,7 @@
     if (!head_)
         head_ = make_caller_head(head);
     while (true) {
-        auto const part = co_await connection->read_body(event_timeout(*current));
+        auto const part = co_await connection->read_body(request_.time_left(base::clock::now()));
         if (!part) {
             connection->close();
             co_return make_unknown_result(part.error());
@@ -345,23 +367,6 @@
     takeover_timer_.cancel();
 }
 
-base::milliseconds stream_exchange::event_timeout(stream_run const& current) const {
-    auto const now = base::clock::now();
-    auto const left = request_.time_left(now);
-    // A target that sends a byte now and then makes no progress.
-    auto const since_progress = [&](base::milliseconds timeout) {
-        return std::min(left, timeout - std::chrono::duration_cast<base::milliseconds>(now - current.progress_at));
-    };
-    if (current.number == relay_.successor() && !current.received_event)
-        return since_progress(takeover_timeout);
-    bool const may_repeat = request_.may_run_again() && possible_runs_ + 1 < request_.route->maximum_attempts;
-    if (!current.received_event)
-        return may_repeat ? since_progress(request_.route->latency_objective) : left;
-    if (!current.backup_target.empty())
-        return since_progress(stall_timeout_with_backup);
-    return may_repeat ? since_progress(stall_timeout_when_resumable) : left;
-}
-
 void stream_exchange::cancel_others(forwarding::run_number kept) {
     // A cancelled run ends in its own coroutine, which changes the list, so the loop uses a copy.
     auto const runs = runs_;
@@ -396,14 +401,11 @@
     crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.fingerprint);
     if (!crashes_targets_ && result.may_have_run() && resume_from_backup(ended))
         return;
-    // The request may have run at an earlier target even if the refusal of a successor states that it has not run.
-    forwarding::attempt_facts const facts{result.outcome,
-                                          result.server_error(),
-                                          request_.may_run_again(),
-                                          possible_runs_,
-                                          request_.route->maximum_attempts,
-                                          unsent_attempts_,
-                                          crashes_targets_};
+    auto const facts = make_attempt_facts(result);
+    if (replacement_ && !crashes_targets_) {
+        start_replacement(result.reason);
+        return;
+    }
     bool const passed = relay_.passed_any();
     auto const decision = decide_retry(parts_, request_.service, facts);
     not_repeated_ = decision.reason;
@@ -432,6 +434,125 @@
     fail(base::make_error(base::error_kind::generation_lost, "the target was lost: " + result.reason), result.reason);
 }
 
+forwarding::attempt_facts stream_exchange::make_attempt_facts(send_result const& last) const {
+    // The request may have run at an earlier target even if the refusal of a successor states that it has not run.
+    return {last.outcome,
+            last.server_error(),
+            request_.may_run_again(),
+            possible_runs_,
+            request_.route->maximum_attempts,
+            unsent_attempts_,
+            crashes_targets_};
+}
+
+std::optional<forwarding::stall_rule> stream_exchange::stall_rule_of(stream_run const& current) const {
+    bool const may_repeat = request_.may_run_again() && possible_runs_ + 1 < request_.route->maximum_attempts;
+    return forwarding::rule_for_stall(
+        {current.received_event, !current.backup_target.empty(), may_repeat, request_.route->latency_objective});
+}
+
+asio::awaitable<void> stream_exchange::watch_for_stall(self_pointer, stream_run_pointer current) {
+    auto& timer = *current->stall_timer;
+    timer.expires_after(stall_check_interval);
+    while (true) {
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (current->ended || current->cancelled || caller_left_ || phase_ != phase::running)
+            co_return;
+        auto const now = base::clock::now();
+        auto const rule = stall_rule_of(*current);
+        // A copy that has not taken over yet has its own timeout.
+        bool const awaited = current->sent && current->number == relay_.active();
+        auto const due = rule && awaited ? current->progress_at + rule->after : now + stall_check_interval;
+        if (now < due) {
+            timer.expires_at(due);
+            continue;
+        }
+        if (co_await handle_stall(current, rule->action))
+            co_return;
+        timer.expires_after(stall_check_interval);
+    }
+}
+
+asio::awaitable<bool> stream_exchange::handle_stall(stream_run_pointer current, forwarding::stall_action action) {
+    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.fingerprint);
+    if (moving_ || crashes_targets_)
+        co_return false;
+    if (action == forwarding::stall_action::resume_from_backup) {
+        auto const copy = consume_backup(*current);
+        if (!copy)
+            co_return false;
+        moving_ = true;
+        bool const taken_over = co_await resume_from_copy(*copy, takeover_timeout_when_stalled);
+        moving_ = false;
+        if (taken_over)
+            parts_.placements.record_outcome(current->target, forwarding::target_outcome::failed);
+        co_return taken_over;
+    }
+    auto prepared = co_await prepare_replacement(current);
+    if (!prepared)
+        co_return false;
+    bool const progressed =
+        base::clock::now() < current->progress_at + stall_rule_of(*current).value_or(forwarding::stall_rule{}).after;
+    if (current->ended || current->cancelled || caller_left_ || progressed || moving_) {
+        withdraw(*prepared);
+        co_return false;
+    }
+    replacement_ = std::move(prepared);
+    current->connection->close();
+    co_return true;
+}
+
+asio::awaitable<std::optional<stream_exchange::prepared_run>>
+stream_exchange::prepare_replacement(stream_run_pointer current) {
+    auto facts = make_attempt_facts(send_result{send_outcome::unknown, {}, {}});
+    ++facts.runs;
+    prepared_run prepared;
+    prepared.decision = ask_retry(parts_, request_.service, facts);
+    if (!prepared.decision.allowed)
+        co_return std::nullopt;
+    auto excluded = tried_targets_;
+    excluded.push_back(current->target);
+    auto need = make_need(excluded);
+    need.overcommit_at = base::time_point::max();
+    auto const target = co_await parts_.placements.place_now(std::move(need));
+    auto const* view = target ? parts_.board.fleet.find(*target) : nullptr;
+    if (view == nullptr) {
+        give_back(parts_, request_.service, prepared.decision);
+        co_return std::nullopt;
+    }
+    prepared.target = *target;
+    auto const connected = co_await parts_.connections.acquire(
+        view->record.address, target_connections::connect_timeout, unlimited_idle_time);
+    if (!connected) {
+        parts_.placements.record_outcome(prepared.target, forwarding::target_outcome::unreachable);
+        withdraw(prepared);
+        co_return std::nullopt;
+    }
+    prepared.connection = connected.value();
+    co_return prepared;
+}
+
+void stream_exchange::start_replacement(std::string_view last_reason) {
+    auto const chosen = *std::exchange(replacement_, std::nullopt);
+    parts_.metrics.add(metrics::counter_kind::retries);
+    log_retry(relay_.passed_any() ? log::event_kind::stream_recovered : log::event_kind::request_sent_again,
+              request_.caller.id, tried_targets_.back(), last_reason, chosen.decision);
+    start_run_at(chosen.target, chosen.connection);
+}
+
+void stream_exchange::discard_replacement() {
+    if (replacement_)
+        withdraw(*std::exchange(replacement_, std::nullopt));
+}
+
+void stream_exchange::withdraw(prepared_run const& unused) {
+    parts_.placements.withdraw(unused.target, request_.caller.id);
+    give_back(parts_, request_.service, unused.decision);
+    auto const* view = parts_.board.fleet.find(unused.target);
+    if (unused.connection && view != nullptr)
+        parts_.connections.release(view->record.address, unused.connection, {});
+}
+
 bool stream_exchange::resume_from_backup(stream_run& ended) {
     auto const copy = consume_backup(ended);
     if (!copy)
@@ -522,7 +643,7 @@
         if (!movable || view == nullptr || !view->leaving(base::clock::now()))
             break;
         auto const backup = consume_backup(*source);
-        if (backup && co_await resume_from_copy(*backup))
+        if (backup && co_await resume_from_copy(*backup, takeover_timeout))
             break;
         if (co_await try_move(source, refused))
             break;
@@ -605,13 +726,13 @@
                                                 {"tokens", tokens_held()},
                                                 {"duration_ms", milliseconds_since(copy_started, now)}});
     resumable_copy made{chosen.target, {source->address, copied.handle}};
-    bool const taken_over = co_await resume_from_copy(std::move(made));
+    bool const taken_over = co_await resume_from_copy(std::move(made), takeover_timeout);
     if (!taken_over)
         refused.push_back(chosen.target);
     co_return taken_over;
 }
 
-asio::awaitable<bool> stream_exchange::resume_from_copy(resumable_copy copy) {
+asio::awaitable<bool> stream_exchange::resume_from_copy(resumable_copy copy, base::milliseconds timeout) {
     if (phase_ != phase::running || caller_left_)
         co_return true;
     // The target may have started to leave while the copy was made.
@@ -620,13 +741,14 @@
     auto const started = make_resuming_run(relay_.start_successor(), copy);
     launch(started);
     while (!started->ended && relay_.active() != started->number && !caller_left_) {
-        takeover_timer_.expires_after(takeover_timeout);
+        takeover_timer_.expires_after(timeout);
         auto const [code] = co_await takeover_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
         if (!code)
             break;
     }
     bool const taken_over = relay_.active() == started->number;
-    if (!taken_over && !started->ended)
+    // While no other run is left, the caller's events can only come from this one.
+    if (!taken_over && !started->ended && relay_.active() != forwarding::no_run)
         started->cancel();
     co_return taken_over;
 }
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -48,15 +48,34 @@
         platform::memory_copy memory;
     };
 
+    /// All that a run at another target needs: a placement, a connection and the retry budget.
+    struct prepared_run {
+        std::string target;
+        http::upstream_pointer connection;
+        retry_decision decision;
+    };
+
     // Runs.
     boost::asio::awaitable<void> start_first_run();
+    void start_run_at(std::string const& target, http::upstream_pointer connection);
     stream_run_pointer make_run(forwarding::run_number number, std::string const& target);
     void launch(stream_run_pointer const& started);
     boost::asio::awaitable<void> serve_run(stream_run_pointer current);
     boost::asio::awaitable<send_result> send_and_read(stream_run_pointer current);
     boost::asio::awaitable<send_result> read_events(stream_run_pointer current, http::response_head head);
     bool forward_events(stream_run& current);
-    base::milliseconds event_timeout(stream_run const& current) const;
+    // Stalled runs.
+    boost::asio::awaitable<void> watch_for_stall(self_pointer self, stream_run_pointer current);
+    std::optional<forwarding::stall_rule> stall_rule_of(stream_run const& current) const;
+    /// Returns whether another run has taken over, or will as soon as this one has ended.
+    boost::asio::awaitable<bool> handle_stall(stream_run_pointer current, forwarding::stall_action action);
+    boost::asio::awaitable<std::optional<prepared_run>> prepare_replacement(stream_run_pointer current);
+    void start_replacement(std::string_view last_reason);
+    void discard_replacement();
+    void withdraw(prepared_run const& unused);
+    placement_need make_need(std::vector<std::string> const& excluded);
+    forwarding::attempt_facts make_attempt_facts(send_result const& last) const;
+
     void on_end(stream_run& ended, send_result result);
     void recover(stream_run& ended, send_result result);
     bool resume_from_backup(stream_run& ended);
@@ -72,7 +91,7 @@
     /// engine stops.
     forwarding::copy_span widest_copy(stream_run const& source) const;
     boost::asio::awaitable<bool> try_move(stream_run_pointer source, std::vector<std::string>& refused);
-    boost::asio::awaitable<bool> resume_from_copy(resumable_copy copy);
+    boost::asio::awaitable<bool> resume_from_copy(resumable_copy copy, base::milliseconds timeout);
     boost::asio::awaitable<void> pause(base::milliseconds length);
 
     // The caller.
@@ -101,6 +120,8 @@
     std::uint32_t unsent_attempts_{0};
     /// Why the request is not sent to another target, for the log.
     std::string_view not_repeated_{retry_reason::final_outcome};
+    /// Set when the running attempt was ended for it.
+    std::optional<prepared_run> replacement_;
     std::optional<http::response_head> head_;
     bool head_sent_{false};
     std::string pending_output_;
--- a/Libraries/forwarding_entry/stream_run.h
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -5,9 +5,11 @@
 #include "http/upstream_connection.h"
 #include "platform/request_headers.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <optional>
 #include <string>
 
 namespace cyclamenledge::forwarding_entry {
@@ -22,6 +24,10 @@
     std::string backup_target;
     /// Null before the connection is established and after the run has ended.
     http::upstream_pointer connection;
+    /// Opened before the run was placed. Otherwise the run opens its own.
+    http::upstream_pointer prepared_connection;
+    /// Runs while the run does. Cancelled at its end.
+    std::optional<boost::asio::steady_timer> stall_timer;
     forwarding::event_splitter splitter;
     bool sent{false};
     base::time_point sent_at{};
--- a/Tests/forwarding/attempt_test.cpp
+++ b/Tests/forwarding/attempt_test.cpp
@@ -7,6 +7,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
     CPPUNIT_TEST_SUITE(attempt_test);
     CPPUNIT_TEST(repetition_and_final_answer);
     CPPUNIT_TEST(refused_requests_have_not_run);
+    CPPUNIT_TEST(stalled_runs_are_replaced_only_where_another_may_run);
     CPPUNIT_TEST(failed_store_relays_are_detected_in_time);
     CPPUNIT_TEST_SUITE_END();
 
@@ -72,6 +74,30 @@
         });
     }
 
+    // Guards against a stream that is lost because its stalled run is ended although no other may run.
+    void stalled_runs_are_replaced_only_where_another_may_run() {
+        struct row {
+            char const* name;
+            run_facts facts;
+            std::optional<stall_action> action;
+            base::milliseconds after;
+        };
+        using enum stall_action;
+        std::vector<row> const table{
+            {"nothing to do before the first event", {false, false, false, 1s}, {}, 0ms},
+            {"nothing to do after it", {true, false, false, 1s}, {}, 0ms},
+            {"no replica before the first event", {false, true, false, 1s}, {}, 0ms},
+            {"replica", {true, true, false, 1s}, resume_from_backup, 900ms},
+            {"first event late", {false, false, true, 1s}, replace, 1000ms},
+            {"resumable stream", {true, false, true, 1s}, replace, 1500ms},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto const rule = rule_for_stall(tested.facts);
+            CPPUNIT_ASSERT_EQUAL(tested.action.has_value(), rule.has_value());
+            CPPUNIT_ASSERT(!rule || (rule->action == *tested.action && rule->after == tested.after));
+        });
+    }
+
     // Guards against a refusal of a request that a target has run. Sends a request to targets with random outcomes for
     // as long as the policy allows, and counts the runs.
     void refused_requests_have_not_run() {
--- a/Tests/process/stream_recovery/stream_recovery_test.cpp
+++ b/Tests/process/stream_recovery/stream_recovery_test.cpp
@@ -11,6 +11,7 @@
 class stream_recovery_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(stream_recovery_test);
     CPPUNIT_TEST(stream_without_an_event_does_not_resume_from_a_replica);
+    CPPUNIT_TEST(stream_without_a_successor_waits_for_its_target);
     CPPUNIT_TEST(stalled_stream_that_sends_bytes_goes_on_elsewhere);
     CPPUNIT_TEST_SUITE_END();
 
@@ -51,6 +52,37 @@
         });
     }
 
+    // Guards against a stream that is lost because its run is ended before another one is certain.
+    void stream_without_a_successor_waits_for_its_target() {
+        struct row {
+            char const* name;
+            std::size_t engines;
+            bool agents;
+            std::uint32_t prompt_tokens;
+            platform::standin::target_faults faults;
+        };
+        std::vector<row> const table{
+            {"pause, no second engine", 1, true, 200, {.paused = 1}},
+            {"pause, no budget", 3, false, 200, {.paused = 1}},
+            {"first event after the objective, no second engine", 1, true, 28000, {}},
+            {"first event after the objective, no budget", 3, false, 28000, {}},
+        };
+        for_each_row(table, [](row const& tested) {
+            platform_world world{{.entries = 1, .engines = tested.engines, .services = 1, .agents = tested.agents}};
+            world.act([&] {
+                for (auto const& site : world.fleet().targets())
+                    site->target->set_faults(tested.faults);
+            });
+            auto const answer = world.call({"slow", "/resume/20", tested.prompt_tokens, {}, 0, true});
+            CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+            CPPUNIT_ASSERT(answer.body.find("id: 20\n") != std::string::npos);
+            world.act([&] {
+                CPPUNIT_ASSERT_EQUAL(1U, world.ledger().find("slow")->runs);
+                CPPUNIT_ASSERT(world.ledger().violations().empty());
+            });
+        });
+    }
+
     // Guards against a stream that runs a second time because it resumes from a replica that does not exist: its engine
     // reset the connection before it generated anything.
     void stream_without_an_event_does_not_resume_from_a_replica() {
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -28,6 +28,7 @@
 // Time that a call takes whose path says so.
 constexpr base::milliseconds slow_call{1000};
 constexpr base::milliseconds stalled_byte_interval{200};
+constexpr base::milliseconds event_pause{2000};
 // Time from the start of a run until it crashes the target.
 constexpr base::milliseconds crash_delay{30};
 
@@ -290,11 +291,14 @@
     bool sound =
         incarnation == incarnation_ && *open && static_cast<bool>(co_await client->start_stream(std::move(head)));
     bool const stalled = happens(faults_.stalled);
+    bool const paused = happens(faults_.paused);
     for (auto event = first; sound && *open && event <= total; ++event) {
         while (stalled && event > first && sound && *open && incarnation == incarnation_) {
             sound = static_cast<bool>(co_await client->send_chunk(":"));
             co_await pause(stalled_byte_interval);
         }
+        if (paused && event == first + 1)
+            co_await pause(event_pause);
         auto const text = "id: " + std::to_string(event) + "\ndata: " + request + ":" + std::to_string(event) + "\n\n";
         sound = static_cast<bool>(co_await client->send_chunk(text));
         co_await pause(event_interval);
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -54,6 +54,8 @@
     double unproven{0};
     /// Sends a few bytes of its second event, one at a time, and no event more.
     double stalled{0};
+    /// Pauses for two seconds before its second event and then goes on.
+    double paused{0};
 };
 
 /// A limit that a target names in its answers, on requests a second from all callers together.
