--- a/Development/soak/caller.cpp
+++ b/Development/soak/caller.cpp
@@ -11,7 +11,9 @@
 
 #include <algorithm>
 #include <array>
+#include <random>
 #include <utility>
+#include <vector>
 
 namespace cyclamenledge::soak {
 
@@ -27,6 +29,8 @@
 constexpr std::size_t most_bytes = 1024UL * 1024;
 constexpr base::milliseconds longest_pause{60};
 constexpr std::uint64_t calls_per_crashing_call = 60;
+// A connection that has been idle for longer is not used again.
+constexpr base::milliseconds longest_idle{3200};
 // An entry in its planned stop and everything around it were undisturbed for this long.
 constexpr base::milliseconds calm_before{4500};
 
@@ -73,7 +77,8 @@
         co_await call(choice < 2   ? route::generation
                       : choice < 4 ? route::resumable
                       : choice < 7 ? route::order
-                                   : route::read);
+                                   : route::read,
+                      random_.below(world_.entries().size()));
         if (random_.below(4) == 0)
             co_await check_configuration(random_.below(world_.entries().size()));
         timer.expires_after(base::milliseconds{random_.below(static_cast<std::uint64_t>(longest_pause.count()))});
@@ -81,10 +86,36 @@
     }
 }
 
-asio::awaitable<void> caller::call(route kind) {
+std::size_t caller::choose_entry() {
+    for (auto& [entry, connection] : kept_) {
+        if (connection && connection->quiet() && base::clock::now() - used_at_[entry] < longest_idle)
+            return entry;
+    }
+    kept_.clear();
+    // New connections go to entries that take calls.
+    std::vector<std::size_t> open;
+    for (auto const& site : world_.entries()) {
+        if (!site->process.ended_on_purpose)
+            open.push_back(site->number);
+    }
+    return open.empty() ? random_.below(world_.entries().size()) : open.at(random_.below(open.size()));
+}
+
+asio::awaitable<void> caller::run_load(load const& wanted, bool const& stop) {
+    asio::steady_timer timer{context_};
+    std::exponential_distribution<double> pause{1.0 / static_cast<double>(wanted.mean_pause.count())};
+    while (!stop) {
+        timer.expires_after(base::milliseconds{static_cast<std::int64_t>(pause(random_.engine()))});
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!stop)
+            co_await call(random_.unit() < wanted.read_share ? route::read : route::order, choose_entry());
+    }
+}
+
+asio::awaitable<void> caller::call(route kind, std::size_t chosen_entry) {
     auto const& definition = routes.at(static_cast<std::size_t>(kind));
     exchange made;
-    made.entry = random_.below(world_.entries().size());
+    made.entry = chosen_entry;
     made.request = next_id();
     made.plain = definition.plain;
     made.size = definition.plain ? random_.below(3000) : 1 + random_.below(120);
@@ -144,6 +175,7 @@
                                            made.plain ? 0U : 600U,
                                            made.body};
     auto const message = platform::standin::encode_call(content);
+    ledger_.send_call(made.request, made.entry, made.plain, made.kept);
     if (auto const sent = co_await connection.value()->send(message, connect_timeout); !sent) {
         connection.value()->close();
         co_return call_end::broken;
@@ -153,6 +185,7 @@
         end = co_await read_plain(connection.value(), made);
     else
         end = co_await read_stream(connection.value(), made);
+    used_at_[made.entry] = base::clock::now();
     if (end != call_end::broken && connection.value()->reusable())
         kept_[made.entry] = connection.value();
     else
@@ -169,6 +202,7 @@
     if (!body)
         co_return call_end::broken;
     auto const status = head.value().result_int();
+    ledger_.answer_call(made.request, status);
     auto const facts = platform::decode_answer(head.value());
     if (!facts.request_id.empty() && facts.request_id != made.request)
         ledger_.violation("the answer of " + facts.request_id + " went to " + made.request);
--- a/Development/soak/caller.h
+++ b/Development/soak/caller.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "http/upstream_connection.h"
 #include "soak/fleet.h"
+#include "soak/load.h"
 #include "soak/run_ledger.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -22,6 +23,8 @@
 
     /// Sends calls until told to stop, and now and then one that crashes targets.
     boost::asio::awaitable<void> run(bool const& stop, bool const& may_crash_targets);
+    /// Sends plain calls as the load says, over one connection as long as it lasts.
+    boost::asio::awaitable<void> run_load(load const& wanted, bool const& stop);
     /// Asks an entry for the routes of versions that it has shown before.
     boost::asio::awaitable<void> check_configuration(std::size_t entry);
 
@@ -39,7 +42,8 @@
         bool kept{false};
     };
 
-    boost::asio::awaitable<void> call(route kind);
+    boost::asio::awaitable<void> call(route kind, std::size_t entry);
+    std::size_t choose_entry();
     boost::asio::awaitable<void> call_crashing();
     boost::asio::awaitable<call_end> perform(exchange made);
     boost::asio::awaitable<call_end> read_plain(http::upstream_pointer connection, exchange made);
@@ -57,6 +61,7 @@
     std::uint64_t next_id_{1};
     /// One kept connection to each entry.
     std::map<std::size_t, http::upstream_pointer> kept_;
+    std::map<std::size_t, base::time_point> used_at_;
     struct shown {
         std::uint64_t life{0};
         std::uint64_t version{0};
--- a/Development/soak/fault_plan.cpp
+++ b/Development/soak/fault_plan.cpp
@@ -130,11 +130,28 @@
 }
 
 asio::awaitable<void> fault_plan::stop_entry() {
-    auto& process = any_entry().process;
     auto const stopping =
         std::ranges::count_if(world_.entries(), [](auto const& entry) { return entry->process.ended_on_purpose; });
-    if (process.ended_on_purpose || process.paused || stopping > 0)
+    if (stopping == 0)
+        co_await stop_planned(any_entry());
+}
+
+asio::awaitable<void> fault_plan::stop_in_series(base::milliseconds interval, base::time_point until) {
+    asio::steady_timer timer{context_};
+    for (std::size_t number = 0; base::clock::now() < until; ++number) {
+        ++open_;
+        asio::co_spawn(context_, stop_planned(*world_.entries()[number % world_.entries().size()]),
+                       [this](std::exception_ptr const&) { --open_; });
+        timer.expires_after(interval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+asio::awaitable<void> fault_plan::stop_planned(entry_site& entry) {
+    auto& process = entry.process;
+    if (process.ended_on_purpose || process.paused)
         co_return;
+    ledger_.begin_stop(entry.number);
     process.ended_on_purpose = true;
     process.stopping = true;
     process.process->send_signal(SIGTERM);
--- a/Development/soak/fault_plan.h
+++ b/Development/soak/fault_plan.h
@@ -24,6 +24,8 @@
     boost::asio::awaitable<void> run(base::milliseconds length, bool with_faults);
     /// Repairs everything and waits until nothing that was begun is still open.
     boost::asio::awaitable<void> settle();
+    /// Stops and restarts one entry after the other, whether or not the one before has ended.
+    boost::asio::awaitable<void> stop_in_series(base::milliseconds interval, base::time_point until);
 
 private:
     struct action {
@@ -36,6 +38,7 @@
     boost::asio::awaitable<void> perform(action const& chosen);
     boost::asio::awaitable<void> kill_entry();
     boost::asio::awaitable<void> stop_entry();
+    boost::asio::awaitable<void> stop_planned(entry_site& entry);
     boost::asio::awaitable<void> pause_entry();
     boost::asio::awaitable<void> kill_agent();
     boost::asio::awaitable<void> pause_agent();
--- a/Development/soak/fleet.cpp
+++ b/Development/soak/fleet.cpp
@@ -82,6 +82,7 @@
 
 base::result<void> fleet::add_entry(std::size_t number, std::vector<std::string> const& seeds) {
     auto site = std::make_unique<entry_site>();
+    site->number = number;
     auto const ip = host_ + std::to_string(10 + number);
     auto const store = at(ip, store_port);
     site->caller_address = at(ip, caller_port);
@@ -114,6 +115,8 @@
     auto const ip = host_ + std::to_string(100 + number);
     platform::standin::target_standin::place where{engine ? engine_service : plain_service, domain_name(number),
                                                    at(ip, target_port), at(ip, target_port + behind_proxy), engine};
+    if (!engine)
+        where.slots = size_.service_slots;
     site->proxy = std::make_unique<fault_proxy>(context_, where.listen_address);
     BOOST_OUTCOME_TRYV(site->proxy->listen(where.address));
     site->target = std::make_unique<platform::standin::target_standin>(context_, std::move(where), directory_, ledger_,
@@ -147,9 +150,9 @@
     wanted.paused = false;
     wanted.stopping = false;
     // Each life keeps its own output.
-    wanted.process = std::make_unique<tests::process::program>(folder_, wanted.name + "-" + std::to_string(wanted.life),
-                                                               tests::process::daemon_path(),
-                                                               std::vector<std::string>{"--config", wanted.settings});
+    wanted.process =
+        std::make_unique<tests::process::program>(folder_, wanted.name + "-" + std::to_string(wanted.life),
+                                                  size_.daemon, std::vector<std::string>{"--config", wanted.settings});
 }
 
 void fleet::check_daemons() {
--- a/Development/soak/fleet.h
+++ b/Development/soak/fleet.h
@@ -28,6 +28,10 @@
     std::size_t seeds{3};
     /// Without agents, entries learn nothing of the engines but what the metadata store lists.
     bool agents{true};
+    /// Slots that each target of the plain service announces.
+    std::uint32_t service_slots{24};
+    /// The program that runs as entries and agents.
+    std::string daemon{tests::process::daemon_path()};
 };
 
 /// A daemon under test with what it needs to be started again.
@@ -45,6 +49,7 @@
 };
 
 struct entry_site {
+    std::size_t number{0};
     daemon process;
     std::string caller_address;
     std::unique_ptr<fault_proxy> caller_proxy;
--- a/Development/soak/main.cpp
+++ b/Development/soak/main.cpp
@@ -1,6 +1,7 @@
 #include "soak/caller.h"
 #include "soak/fault_plan.h"
 #include "soak/fleet.h"
+#include "soak/load.h"
 #include "soak/run_ledger.h"
 
 #include <CLI/CLI.hpp>
@@ -16,6 +17,7 @@
 #include <fstream>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -34,6 +36,9 @@
     fleet_size size;
     std::string kept_output;
     std::string regressions;
+    /// Empty for the fault plan.
+    std::string load;
+    std::optional<std::uint64_t> stop_milliseconds;
 };
 
 struct seed_case {
@@ -46,6 +51,8 @@
 // Calls that were under way before the last repair end within their deadline; the calls after it are judged.
 constexpr base::seconds recovery_time{5};
 constexpr base::seconds judged_time{3};
+// Calls that were sent last end within it.
+constexpr base::seconds last_calls{4};
 constexpr std::size_t most_printed = 20;
 constexpr double served_after_recovery = 0.99;
 // Planned operations and faults follow each other, so that planned ones are also judged undisturbed.
@@ -66,7 +73,10 @@
             std::cout << "seed " << seed_ << ": not run: " << started.error().message << std::endl;
             return false;
         }
-        asio::co_spawn(context_, play(), asio::detached);
+        if (auto const* wanted = find_load(options_.load); wanted != nullptr)
+            asio::co_spawn(context_, play_load(*wanted), asio::detached);
+        else
+            asio::co_spawn(context_, play(), asio::detached);
         context_.run();
         return report();
     }
@@ -113,12 +123,53 @@
         context_.stop();
     }
 
+    asio::awaitable<void> play_load(load wanted) {
+        if (options_.stop_milliseconds)
+            wanted.stop_interval = base::milliseconds{*options_.stop_milliseconds};
+        for (auto const& site : fleet_.targets()) {
+            site->target->set_slow_calls(wanted.slow);
+            if (!site->target->where().engine)
+                site->target->set_faults(wanted.faults);
+        }
+        co_await pause(start_time);
+        asio::co_spawn(context_, watch_daemons(), asio::detached);
+        for (std::size_t number = 0; number < wanted.callers; ++number) {
+            callers_.push_back(std::make_unique<caller>(context_, fleet_, ledger_, number + 1, random_.next()));
+            asio::co_spawn(context_, callers_.back()->run_load(wanted, stop_), asio::detached);
+        }
+        auto const end = base::clock::now() + base::seconds{options_.seconds};
+        if (wanted.stop_interval.count() > 0)
+            co_await plan_.stop_in_series(wanted.stop_interval, end);
+        else
+            co_await pause(base::seconds{options_.seconds});
+        co_await plan_.settle();
+        stop_ = true;
+        co_await pause(last_calls);
+        context_.stop();
+    }
+
+    void print_counts() const {
+        std::cout << "  largest use of the bound on retries: " << ledger_.largest_retry_use() << "\n  by status:";
+        for (auto const& [status, count] : ledger_.statuses())
+            std::cout << ' ' << (status == 0 ? "none" : std::to_string(status)) << ' ' << count;
+        std::cout << "\n  plain calls passed on and cut off without an answer: " << ledger_.cut_calls().size() << '\n';
+        for (auto const& cut : ledger_.cut_calls()) {
+            std::cout << "    " << cut.request << " at entry " << cut.entry << " over a " << (cut.kept ? "kept" : "new")
+                      << " connection, cut " << cut.lasted.count() << " ms after it was sent";
+            if (cut.sent_after_stop)
+                std::cout << ", " << cut.sent_after_stop->count() << " ms from the SIGTERM";
+            std::cout << '\n';
+        }
+    }
+
     bool report() {
         bool const good = ledger_.violations().empty();
         std::cout << "seed " << seed_ << ": " << (good ? "kept" : "BROKEN") << ", " << ledger_.calls() << " calls, "
                   << ledger_.count(call_end::served) << " served, " << ledger_.count(call_end::refused) << " refused, "
                   << ledger_.count(call_end::failed) << " failed, " << ledger_.count(call_end::broken) << " broken off"
                   << std::endl;
+        if (!options_.load.empty())
+            print_counts();
         if (good)
             return true;
         auto const& violations = ledger_.violations();
@@ -179,6 +230,13 @@
     app.add_option("--services", wanted.size.services, "Targets of the plain service");
     app.add_option("--keep", wanted.kept_output, "Folder for the output of seeds that broke a promise");
     app.add_option("--regressions", wanted.regressions, "File with seeds to play instead");
+    app.add_option("--daemon", wanted.size.daemon, "Program that runs as entries and agents");
+    app.add_flag("!--no-agents", wanted.size.agents, "Run no agents beside the engines");
+    std::vector<std::string> names;
+    std::ranges::transform(loads(), std::back_inserter(names), &load::name);
+    app.add_option("--load", wanted.load, "Load to play instead of the fault plan")->check(CLI::IsMember(names));
+    app.add_option("--stops", wanted.stop_milliseconds, "From one stop of an entry to the next, in milliseconds");
+    app.add_option("--slots", wanted.size.service_slots, "Slots that each target of the plain service announces");
     CLI11_PARSE(app, count, arguments);
     std::vector<seed_case> cases;
     if (wanted.regressions.empty()) {
--- a/Development/soak/run_ledger.cpp
+++ b/Development/soak/run_ledger.cpp
@@ -40,14 +40,42 @@
     calls_[request].crashing_content = content;
 }
 
-void run_ledger::end_call(std::string const& request, call_end end) {
+void run_ledger::send_call(std::string const& request, std::size_t entry, bool plain, bool kept, base::time_point at) {
+    auto& call = calls_[request];
+    call.entry = entry;
+    call.plain = plain;
+    call.kept = kept;
+    call.sent_at = at;
+}
+
+void run_ledger::end_call(std::string const& request, call_end end, base::time_point at) {
     auto& call = calls_[request];
     call.ended = true;
     call.end = end;
+    if (end == call_end::broken && call.plain && call.arrivals > 0 && call.sent_at != base::time_point{})
+        record_cut(request, call, at);
     if (end == call_end::refused && !call.may_run_again && call.runs > 0)
         violation("refused after it ran: " + request);
 }
 
+void run_ledger::record_cut(std::string const& request, call_record const& call, base::time_point at) {
+    auto const length = [](base::duration time) { return std::chrono::duration_cast<base::milliseconds>(time); };
+    cut_call cut{request, call.entry, call.kept, length(at - call.sent_at), {}};
+    // The last stop that began before the call ended.
+    for (auto const stop : stops_[call.entry]) {
+        if (stop <= at)
+            cut.sent_after_stop = length(call.sent_at - stop);
+    }
+    cut_calls_.push_back(std::move(cut));
+}
+
+std::map<unsigned, std::size_t> run_ledger::statuses() const {
+    std::map<unsigned, std::size_t> counts;
+    for (auto const& [request, call] : calls_)
+        ++counts[call.status];
+    return counts;
+}
+
 void run_ledger::name_limit(std::string const& target_id, std::optional<double> per_second, base::time_point from) {
     limited_.erase(target_id);
     if (per_second)
@@ -88,7 +116,9 @@
     auto const calls =
         std::max({calls_until(now), calls_until(now - retry_window / 2), calls_until(now - retry_window)});
     auto const permitted = retry_share * static_cast<double>(calls) + retry_reserve;
-    if (static_cast<double>(traffic.recent_retries.size()) > permitted)
+    auto const retries = static_cast<double>(traffic.recent_retries.size());
+    largest_retry_use_ = std::max(largest_retry_use_, retries / permitted);
+    if (retries > permitted)
         violation("retries of service " + service + " beyond their bound: " + request + " is number " +
                   std::to_string(traffic.recent_retries.size()) + " in a window with " + std::to_string(calls) +
                   " calls");
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -35,6 +35,24 @@
     bool run_complete{false};
     call_end end{call_end::broken};
     bool ended{false};
+    /// Zero until the call was sent to an entry.
+    base::time_point sent_at{};
+    std::size_t entry{0};
+    bool plain{true};
+    /// Over a connection that had carried calls before.
+    bool kept{false};
+    /// Zero without an answer.
+    unsigned status{0};
+};
+
+/// A plain call that an entry passed on and cut off without an answer.
+struct cut_call {
+    std::string request;
+    std::size_t entry{0};
+    bool kept{false};
+    base::milliseconds lasted{0};
+    /// From the SIGTERM of the entry. Empty for an entry that was not told to stop.
+    std::optional<base::milliseconds> sent_after_stop;
 };
 
 /// Collects what callers and targets see and holds it against the promises.
@@ -44,7 +62,13 @@
     /// Begins a call whose content crashes every target that runs it. Such calls are not counted.
     void begin_crashing_call(std::string const& request, bool may_run_again, std::string const& service,
                              std::string const& content);
-    void end_call(std::string const& request, call_end end);
+    /// The call goes to the entry, over a connection that has carried calls before or not.
+    void send_call(std::string const& request, std::size_t entry, bool plain, bool kept,
+                   base::time_point at = base::clock::now());
+    void answer_call(std::string const& request, unsigned status) { calls_[request].status = status; }
+    void end_call(std::string const& request, call_end end, base::time_point at = base::clock::now());
+    /// The entry receives its first SIGTERM.
+    void begin_stop(std::size_t entry, base::time_point at = base::clock::now()) { stops_[entry].push_back(at); }
     void on_arrival(std::string const& request, platform::standin::target_standin const& target) override;
     void on_run(std::string const& request, platform::standin::target_standin const& target, bool continued) override;
     void on_run_complete(std::string const& request) override;
@@ -70,6 +94,11 @@
     std::size_t arrivals_at_limited(std::string const& target_id) const;
     /// Arrivals at the service beyond the first of each request, since the start.
     std::size_t retries(std::string const& service) const;
+    /// Largest share of the bound on retries that any service used in a window.
+    double largest_retry_use() const { return largest_retry_use_; }
+    std::vector<cut_call> const& cut_calls() const { return cut_calls_; }
+    /// Calls by the status of their answer.
+    std::map<unsigned, std::size_t> statuses() const;
 
     void violation(std::string text);
     std::vector<std::string> const& violations() const { return violations_; }
@@ -99,6 +128,7 @@
         std::size_t retries{0};
     };
 
+    void record_cut(std::string const& request, call_record const& call, base::time_point at);
     void check_crashing_run(call_record const& call, base::time_point now);
     void check_limit(std::string const& request, std::string const& target_id, base::time_point now);
     void check_retry_bound(std::string const& request, std::string const& service, base::time_point now);
@@ -108,6 +138,9 @@
     std::map<std::string, base::time_point> closed_;
     std::map<std::string, limited_target> limited_;
     std::map<std::string, service_traffic> traffic_;
+    std::map<std::size_t, std::vector<base::time_point>> stops_;
+    std::vector<cut_call> cut_calls_;
+    double largest_retry_use_{0};
     std::uint32_t disturbances_{0};
     base::time_point disturbed_until_{};
     std::vector<std::string> violations_;
--- a/Tests/process/slow_calls/slow_calls_test.cpp
+++ b/Tests/process/slow_calls/slow_calls_test.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::size_t caller_count = 40;
 constexpr auto pause_between_callers = 20ms;
-constexpr platform::standin::call_times slow{300ms, 1500ms};
+constexpr platform::standin::slow_calls slow{1.0, 300ms, 1500ms};
 
 struct slow_row {
     char const* name;
@@ -64,7 +64,7 @@
             send_reads(world, "earlier-", row.earlier_calls);
             world.act([&] {
                 for (auto const& site : world.fleet().targets())
-                    site->target->set_call_times(slow);
+                    site->target->set_slow_calls(slow);
             });
             auto const counts = send_reads(world, "slow-", caller_count);
             std::string seen;
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -121,7 +121,7 @@
     return json::serialize(json::object{{"service", where_.service},
                                         {"address", where_.address},
                                         {"zone", where_.failure_domain},
-                                        {"slots", 24},
+                                        {"slots", where_.slots},
                                         {"state", leaves_at_ ? "draining" : "ready"},
                                         {"coldLeftMs", 0},
                                         {"born", started_at_}});
@@ -205,6 +205,17 @@
     co_return true;
 }
 
+base::milliseconds target_standin::work_time(std::string_view path) {
+    auto time = base::milliseconds{1 + random_.below(static_cast<std::uint64_t>(longest_call.count()))};
+    if (path.find(slow_path) != std::string_view::npos)
+        time += slow_call;
+    if (slow_calls_.share > 0 && happens(slow_calls_.share)) {
+        auto const range = static_cast<std::uint64_t>((slow_calls_.longest - slow_calls_.shortest).count());
+        time = slow_calls_.shortest + base::milliseconds{random_.below(range + 1)};
+    }
+    return time;
+}
+
 asio::awaitable<void> target_standin::run_call(http::session_pointer client, http::request received) {
     auto const request = header(received, "X-Request-Id");
     auto const incarnation = incarnation_;
@@ -212,10 +223,7 @@
     if (co_await crash_on(client, received))
         co_return;
     std::string_view const target{received.target().data(), received.target().size()};
-    if (target.find(slow_path) != std::string_view::npos)
-        co_await pause(slow_call);
-    auto const spread = static_cast<std::uint64_t>((call_times_.longest - call_times_.shortest).count());
-    co_await pause(call_times_.shortest + base::milliseconds{random_.below(spread + 1)});
+    co_await pause(work_time(target));
     if (incarnation != incarnation_ || happens(faults_.lost)) {
         client->close();
         co_return;
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -58,6 +58,13 @@
     double paused{0};
 };
 
+/// Plain calls that take longer than the others.
+struct slow_calls {
+    double share{0};
+    base::milliseconds shortest{0};
+    base::milliseconds longest{0};
+};
+
 /// A limit that a target names in its answers, on requests a second from all callers together.
 struct named_limit {
     double per_second{0};
@@ -65,12 +72,6 @@
     bool in_refusals_only{false};
 };
 
-/// How long a target takes for calls, from the shortest to the longest.
-struct call_times {
-    base::milliseconds shortest{1};
-    base::milliseconds longest{25};
-};
-
 /// Targets by the address at which others call them.
 using target_directory = std::map<std::string, target_standin*>;
 
@@ -90,6 +91,7 @@
         std::string address;
         std::string listen_address;
         bool engine{false};
+        std::uint32_t slots{24};
     };
 
     target_standin(boost::asio::io_context& context, place where, target_directory& directory,
@@ -111,7 +113,7 @@
     /// The announcement in the metadata store.
     std::string announcement() const;
     void set_faults(target_faults const& faults) { faults_ = faults; }
-    void set_call_times(call_times const& times) { call_times_ = times; }
+    void set_slow_calls(slow_calls const& slow) { slow_calls_ = slow; }
     void name_limit(std::optional<named_limit> const& limit) { named_limit_ = limit; }
     bool limited() const { return named_limit_.has_value(); }
 
@@ -124,6 +126,7 @@
     };
 
     boost::asio::awaitable<void> pause(base::milliseconds length);
+    base::milliseconds work_time(std::string_view path);
     /// Answers a request that goes beyond a limit which only refusals name. Returns whether it did.
     boost::asio::awaitable<bool> refuse_beyond_limit(http::session_pointer client, std::string request);
     void add_named_limit(http::beast_http::response_header<>& head, bool refusal) const;
@@ -152,7 +155,7 @@
     std::optional<base::time_point> leaves_at_;
     base::time_point link_free_{};
     target_faults faults_;
-    call_times call_times_;
+    slow_calls slow_calls_;
     std::optional<named_limit> named_limit_;
     /// When requests were accepted in the last second.
     std::deque<base::time_point> accepted_;
