Hold the fault soak against lost calls, deadlines and attempts

The ledger found a call lost at a planned stop only if its target had finished and the process had not been started again. It now counts, for plain calls and streams, each call that a target received and whose connection ends without a complete answer around a planned stop or a SIGHUP, except where the target broke off, the time of the call was over, or the target needed the end of the grace time for a call that was sent early. At any time, also under faults of targets, more than three calls that kept connections carried to sound targets and that were closed without an answer are a violation. So are more than 20 targets that are handed over half a second too much time, and more than three calls that run at more targets than their route allows. A caller that leaves is told from a connection that ends.

The checks of the ledger pass with a broken and a kept row for each.

--- a/Development/soak/caller.cpp
+++ b/Development/soak/caller.cpp
@@ -34,21 +34,17 @@
 // An entry in its planned stop and everything around it were undisturbed for this long.
 constexpr base::milliseconds calm_before{4500};
 
-struct route_definition {
-    char const* prefix;
-    bool may_run_again;
-    bool plain;
-};
-// In the order of caller::route.
-constexpr std::array<route_definition, 4> routes{{
-    {"/gen/", false, false},
-    {"/resume/", true, false},
-    {"/order/", false, true},
-    {"/read/", true, true},
-}};
+bool may_run_again(platform::standin::published_route const& route) {
+    return route.resumable || route.kind == "idempotent";
+}
+
+bool is_plain(platform::standin::published_route const& route) {
+    return route.service == plain_service;
+}
 
-std::string service_of(route_definition const& route) {
-    return route.plain ? plain_service : engine_service;
+call_bounds bounds_of(platform::standin::published_route const& route) {
+    return {base::milliseconds{is_plain(route) ? plain_deadline : stream_deadline},
+            base::milliseconds{route.timeout_milliseconds}, route.maximum_attempts};
 }
 
 bool refused(unsigned status) {
@@ -113,14 +109,15 @@
 }
 
 asio::awaitable<void> caller::call(route kind, std::size_t chosen_entry) {
-    auto const& definition = routes.at(static_cast<std::size_t>(kind));
+    auto const& definition = fixed_routes()[static_cast<std::size_t>(kind)];
     exchange made;
     made.entry = chosen_entry;
     made.request = next_id();
-    made.plain = definition.plain;
-    made.size = definition.plain ? random_.below(3000) : 1 + random_.below(120);
+    made.plain = is_plain(definition);
+    made.bounds = bounds_of(definition);
+    made.size = made.plain ? random_.below(3000) : 1 + random_.below(120);
     made.path = definition.prefix + std::to_string(made.size);
-    ledger_.begin_call(made.request, definition.may_run_again, service_of(definition));
+    ledger_.begin_call(made.request, may_run_again(definition), definition.service);
     auto const began = base::clock::now();
     auto const& process = world_.entries()[made.entry]->process;
     auto const request = made.request;
@@ -130,7 +127,7 @@
     ledger_.end_call(request, end);
     // Calls that a planned stop meets are served or refused, not lost.
     bool const one_life = process.life == life && ledger_.calm_since(began - calm_before);
-    if (definition.plain && end == call_end::broken && one_life && ledger_.find(request)->run_complete)
+    if (is_plain(definition) && end == call_end::broken && one_life && ledger_.find(request)->run_complete)
         ledger_.violation("lost at entry " + std::to_string(entry) + (process.stopping ? " in a planned stop" : "") +
                           ": " + request);
 }
@@ -138,16 +135,17 @@
 asio::awaitable<void> caller::call_crashing() {
     // Both contents come again and again, from any caller and through any entry.
     auto const& definition =
-        routes.at(static_cast<std::size_t>(random_.below(2) == 0 ? route::generation : route::order));
+        fixed_routes()[static_cast<std::size_t>(random_.below(2) == 0 ? route::generation : route::order)];
     exchange made;
     made.entry = random_.below(world_.entries().size());
     made.request = next_id();
-    made.plain = definition.plain;
+    made.plain = is_plain(definition);
+    made.bounds = bounds_of(definition);
     made.size = 1;
     made.path = definition.prefix + std::string{"crash/1"};
     made.body = "crashes targets";
     auto const request = made.request;
-    ledger_.begin_crashing_call(request, definition.may_run_again, service_of(definition), made.path);
+    ledger_.begin_crashing_call(request, may_run_again(definition), definition.service, made.path);
     ledger_.end_call(request, co_await perform(std::move(made)));
 }
 
@@ -175,7 +173,7 @@
                                            made.plain ? 0U : 600U,
                                            made.body};
     auto const message = platform::standin::encode_call(content);
-    ledger_.send_call(made.request, made.entry, made.plain, made.kept);
+    ledger_.send_call(made.request, {made.entry, made.plain, made.kept, made.bounds});
     if (auto const sent = co_await connection.value()->send(message, connect_timeout); !sent) {
         connection.value()->close();
         co_return call_end::broken;
@@ -186,7 +184,7 @@
     else
         end = co_await read_stream(connection.value(), made);
     used_at_[made.entry] = base::clock::now();
-    if (end != call_end::broken && connection.value()->reusable())
+    if (end != call_end::broken && end != call_end::left && connection.value()->reusable())
         kept_[made.entry] = connection.value();
     else
         connection.value()->close();
@@ -222,6 +220,7 @@
     if (!head)
         co_return call_end::broken;
     auto const status = head.value().result_int();
+    ledger_.answer_call(made.request, status);
     if (status != 200) {
         if (!co_await connection->read_whole_body(most_bytes, wait))
             co_return call_end::broken;
@@ -246,7 +245,7 @@
             ++expected;
         }
         if (expected > leaves_after)
-            co_return call_end::broken;
+            co_return call_end::left;
     }
     if (expected != made.size + 1)
         ledger_.violation("a stream of " + std::to_string(made.size) + " events ended as complete after " +
--- a/Development/soak/caller.h
+++ b/Development/soak/caller.h
@@ -40,6 +40,7 @@
         std::uint64_t size{0};
         bool plain{true};
         bool kept{false};
+        call_bounds bounds;
     };
 
     boost::asio::awaitable<void> call(route kind, std::size_t entry);
--- a/Development/soak/fault_plan.cpp
+++ b/Development/soak/fault_plan.cpp
@@ -47,21 +47,21 @@
 
 std::span<fault_plan::action const> fault_plan::actions() {
     static constexpr std::array<action, 15> table{{
-        {"kill_entry", false, &fault_plan::kill_entry},
-        {"pause_entry", false, &fault_plan::pause_entry},
-        {"kill_agent", false, &fault_plan::kill_agent},
-        {"pause_agent", false, &fault_plan::pause_agent},
-        {"crash_target", false, &fault_plan::crash_target},
-        {"harm_target", false, &fault_plan::harm_target},
-        {"harm_store", false, &fault_plan::harm_store},
-        {"forget_history", false, &fault_plan::forget_history},
-        {"restore_store", false, &fault_plan::restore_store},
-        {"harm_link", false, &fault_plan::harm_link},
-        {"stop_entry", true, &fault_plan::stop_entry},
-        {"leave_engine", true, &fault_plan::leave_engine},
-        {"publish", true, &fault_plan::publish},
-        {"evacuate", true, &fault_plan::evacuate},
-        {"name_limit", true, &fault_plan::name_limit},
+        {"kill_entry", fault_reach::entries, &fault_plan::kill_entry},
+        {"pause_entry", fault_reach::entries, &fault_plan::pause_entry},
+        {"kill_agent", fault_reach::targets, &fault_plan::kill_agent},
+        {"pause_agent", fault_reach::targets, &fault_plan::pause_agent},
+        {"crash_target", fault_reach::targets, &fault_plan::crash_target},
+        {"harm_target", fault_reach::targets, &fault_plan::harm_target},
+        {"harm_store", fault_reach::entries, &fault_plan::harm_store},
+        {"forget_history", fault_reach::entries, &fault_plan::forget_history},
+        {"restore_store", fault_reach::entries, &fault_plan::restore_store},
+        {"harm_link", fault_reach::entries, &fault_plan::harm_link},
+        {"stop_entry", {}, &fault_plan::stop_entry},
+        {"leave_engine", {}, &fault_plan::leave_engine},
+        {"publish", {}, &fault_plan::publish},
+        {"evacuate", {}, &fault_plan::evacuate},
+        {"name_limit", {}, &fault_plan::name_limit},
     }};
     return table;
 }
@@ -76,7 +76,7 @@
     auto const table = actions();
     while (base::clock::now() < end) {
         auto const& chosen = table[random_.below(table.size())];
-        if (chosen.planned || with_faults)
+        if (!chosen.reach || with_faults)
             asio::co_spawn(context_, perform(chosen), asio::detached);
         co_await pause(shortest_gap, longest_gap);
     }
@@ -88,12 +88,12 @@
     };
     ++open_;
     log_ << since() << " ms " << chosen.name << std::endl;
-    if (!chosen.planned)
-        ledger_.begin_disturbance();
+    if (chosen.reach)
+        ledger_.begin_disturbance(*chosen.reach);
     co_await (this->*chosen.act)();
     --open_;
-    if (!chosen.planned)
-        ledger_.end_disturbance(base::clock::now() + after_effect);
+    if (chosen.reach)
+        ledger_.end_disturbance(base::clock::now() + after_effect, *chosen.reach);
 }
 
 asio::awaitable<void> fault_plan::settle() {
@@ -162,6 +162,7 @@
         ledger_.violation(process.name + " did not end its planned stop");
     co_await pause(50, 400);
     world_.start_daemon(process);
+    ledger_.start_entry(entry.number);
 }
 
 asio::awaitable<void> fault_plan::pause_entry() {
--- a/Development/soak/fault_plan.h
+++ b/Development/soak/fault_plan.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <iosfwd>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -30,7 +31,8 @@
 private:
     struct action {
         char const* name;
-        bool planned;
+        /// Empty for a planned operation.
+        std::optional<fault_reach> reach;
         boost::asio::awaitable<void> (fault_plan::*act)();
     };
     static std::span<action const> actions();
--- a/Development/soak/fleet.cpp
+++ b/Development/soak/fleet.cpp
@@ -1,13 +1,12 @@
 #include "soak/fleet.h"
 
-#include "support/platform/caller_messages.h"
-
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -210,14 +209,19 @@
     ledger_.name_limit(site.target->id(), limit ? std::optional{limit->per_second} : std::nullopt);
 }
 
-void fleet::publish_configuration() {
-    ++version_;
-    std::vector<platform::standin::published_route> routes{
+std::span<platform::standin::published_route const> fixed_routes() {
+    static std::array<platform::standin::published_route, 4> const routes{{
         {"/gen/", engine_service, "streaming", false, 1, 20000, 1800},
         {"/resume/", engine_service, "streaming", true, 2, 20000, 1500},
         {"/order/", plain_service, "non_idempotent", false, 1, 3000, 250},
         {"/read/", plain_service, "idempotent", false, 2, 3000, 250},
-    };
+    }};
+    return routes;
+}
+
+void fleet::publish_configuration() {
+    ++version_;
+    std::vector<platform::standin::published_route> routes{fixed_routes().begin(), fixed_routes().end()};
     // A route of each version shows which configuration an entry has in force.
     for (std::uint64_t version = 1; version <= version_; ++version)
         routes.push_back({"/v" + std::to_string(version) + "/", plain_service, "idempotent", false, 2, 3000, 250});
--- a/Development/soak/fleet.h
+++ b/Development/soak/fleet.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "soak/fault_proxy.h"
 #include "soak/run_ledger.h"
+#include "support/platform/caller_messages.h"
 #include "support/platform/store_standin.h"
 #include "support/platform/target_standin.h"
 #include "support/process/program.h"
@@ -15,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -119,6 +121,9 @@
     std::set<std::string> evacuated_;
 };
 
+/// The routes that every configuration has.
+std::span<platform::standin::published_route const> fixed_routes();
+
 inline constexpr char const* engine_service = "engine";
 inline constexpr char const* plain_service = "orders";
 inline constexpr char const* caller_host = "callers.example";
--- a/Development/soak/main.cpp
+++ b/Development/soak/main.cpp
@@ -166,8 +166,8 @@
         bool const good = ledger_.violations().empty();
         std::cout << "seed " << seed_ << ": " << (good ? "kept" : "BROKEN") << ", " << ledger_.calls() << " calls, "
                   << ledger_.count(call_end::served) << " served, " << ledger_.count(call_end::refused) << " refused, "
-                  << ledger_.count(call_end::failed) << " failed, " << ledger_.count(call_end::broken) << " broken off"
-                  << std::endl;
+                  << ledger_.count(call_end::failed) << " failed, " << ledger_.count(call_end::broken)
+                  << " broken off, " << ledger_.count(call_end::left) << " left" << std::endl;
         if (!options_.load.empty())
             print_counts();
         if (good)
--- a/Development/soak/run_ledger.cpp
+++ b/Development/soak/run_ledger.cpp
@@ -7,9 +7,21 @@
 
 namespace {
 
-// The bounds that are promised for a target that leaves, and the time in which an undisturbed entry is in touch.
+// Promised for a target that leaves.
 constexpr base::milliseconds drain_bound{2500};
-constexpr base::milliseconds contact_time{4000};
+// From the SIGTERM of an entry until its process may be killed.
+constexpr base::milliseconds grace_time{8000};
+// A call that was sent soon after the SIGTERM may be ended when its target works until the end of the grace time.
+constexpr base::milliseconds early_call{3000};
+constexpr base::milliseconds end_of_grace = grace_time * 5 / 6;
+constexpr base::milliseconds after_grace{1000};
+// Time in which an entry takes a configuration or changed settings over.
+constexpr base::milliseconds configuration_time{2500};
+constexpr std::uint32_t permitted_closed_unanswered = 3;
+constexpr std::uint32_t permitted_beyond_attempts = 3;
+constexpr base::milliseconds permitted_extra_time{500};
+constexpr std::uint32_t permitted_too_much_time = 20;
+constexpr std::uint32_t permitted_too_much_time_of = 5;
 // A request that has crashed this many targets reaches others only so many times more, when every entry had the contact
 // time to learn of it.
 constexpr std::size_t crashes_until_refused = 3;
@@ -40,35 +52,102 @@
     calls_[request].crashing_content = content;
 }
 
-void run_ledger::send_call(std::string const& request, std::size_t entry, bool plain, bool kept, base::time_point at) {
-    auto& call = calls_[request];
-    call.entry = entry;
-    call.plain = plain;
-    call.kept = kept;
-    call.sent_at = at;
-}
-
 void run_ledger::end_call(std::string const& request, call_end end, base::time_point at) {
     auto& call = calls_[request];
     call.ended = true;
     call.end = end;
-    if (end == call_end::broken && call.plain && call.arrivals > 0 && call.sent_at != base::time_point{})
-        record_cut(request, call, at);
+    if (end == call_end::broken && call.sent && call.arrivals > 0) {
+        check_loss(request, call, at);
+        if (call.sent->plain)
+            record_cut(request, call, at);
+    }
     if (end == call_end::refused && !call.may_run_again && call.runs > 0)
         violation("refused after it ran: " + request);
 }
 
 void run_ledger::record_cut(std::string const& request, call_record const& call, base::time_point at) {
     auto const length = [](base::duration time) { return std::chrono::duration_cast<base::milliseconds>(time); };
-    cut_call cut{request, call.entry, call.kept, length(at - call.sent_at), {}};
-    // The last stop that began before the call ended.
-    for (auto const stop : stops_[call.entry]) {
-        if (stop <= at)
-            cut.sent_after_stop = length(call.sent_at - stop);
-    }
+    auto const& sent = *call.sent;
+    cut_call cut{request, sent.entry, sent.kept, length(at - sent.at), {}};
+    if (auto const stop = stop_before(sent.entry, at))
+        cut.sent_after_stop = length(sent.at - *stop);
     cut_calls_.push_back(std::move(cut));
 }
 
+bool run_ledger::in_touch(std::size_t entry, base::time_point at) const {
+    auto const found = entries_.find(entry);
+    bool const ran = found == entries_.end() || found->second.in_touch_after <= at;
+    return ran && calm_since(at - contact_time, fault_reach::entries);
+}
+
+std::optional<base::time_point> run_ledger::stop_before(std::size_t entry, base::time_point at) const {
+    auto const found = entries_.find(entry);
+    if (found == entries_.end())
+        return {};
+    auto const& stops = found->second.stops;
+    auto const later = std::ranges::upper_bound(stops, at);
+    return later == stops.begin() ? std::nullopt : std::optional{*std::prev(later)};
+}
+
+bool run_ledger::around_planned_work(call_record const& call, base::time_point ended) const {
+    auto const& sent = *call.sent;
+    if (auto const stop = stop_before(sent.entry, ended); stop && ended <= *stop + grace_time + after_grace) {
+        auto const works_until = call.run_complete ? call.completed_at : ended;
+        bool const needed_the_grace_time = sent.at <= *stop + early_call && works_until >= *stop + end_of_grace;
+        return !needed_the_grace_time;
+    }
+    auto const found = entries_.find(sent.entry);
+    return found != entries_.end() && std::ranges::any_of(found->second.reloads, [&](auto reload) {
+               return sent.at <= reload + configuration_time && reload <= ended;
+           });
+}
+
+void run_ledger::check_loss(std::string const& request, call_record const& call, base::time_point ended) {
+    auto const& sent = *call.sent;
+    auto const time_limit = std::min(sent.bounds.deadline, sent.bounds.route_timeout);
+    if (call.target_broke_off || ended - sent.at >= time_limit)
+        return;
+    if (calm_since(sent.at - contact_time) && around_planned_work(call, ended))
+        violation("lost around planned work at entry " + std::to_string(sent.entry) + ": " + request);
+    bool const unanswered = sent.kept && call.status == 0 && in_touch(sent.entry, call.first_arrival) &&
+                            calm_since(sent.at - contact_time, fault_reach::entries);
+    if (unanswered && ++closed_unanswered_ == permitted_closed_unanswered + 1)
+        violation("passed on over kept connections and closed without an answer, more than " +
+                  std::to_string(permitted_closed_unanswered) + " times: " + request);
+}
+
+void run_ledger::check_time_left(std::string const& request, call_record& call,
+                                 std::optional<base::milliseconds> time_left, base::time_point now) {
+    auto const deadline = now + time_left.value_or(base::milliseconds{0});
+    if (call.arrivals == 1) {
+        call.first_arrival = now;
+        call.first_deadline = deadline;
+    }
+    if (!call.sent || !call.sent->plain || !in_touch(call.sent->entry, now))
+        return;
+    auto const latest =
+        std::max(call.first_deadline, call.sent->at + call.sent->bounds.deadline) + permitted_extra_time;
+    bool const repeated_late = now - call.first_arrival > permitted_extra_time;
+    bool const too_much = !time_left || *time_left > call.sent->bounds.deadline + permitted_extra_time ||
+                          (repeated_late && deadline > latest);
+    judged_time_left_ += too_much || repeated_late ? 1 : 0;
+    handed_too_much_time_ += too_much ? 1 : 0;
+    if (too_much && handed_too_much_time_ > permitted_too_much_time &&
+        handed_too_much_time_ * permitted_too_much_time_of > judged_time_left_)
+        violation("targets were handed more time than is left, " + std::to_string(handed_too_much_time_) +
+                  " times: " + request);
+}
+
+void run_ledger::check_attempts(std::string const& request, call_record& call, base::time_point now) {
+    bool const beyond = call.sent && call.run_at.size() > call.sent->bounds.maximum_attempts;
+    if (!beyond || call.beyond_attempts || !calm_since(now - contact_time, fault_reach::entries))
+        return;
+    call.beyond_attempts = true;
+    if (++beyond_attempts_ == permitted_beyond_attempts + 1)
+        violation("ran at more targets than the route allows, more than " + std::to_string(permitted_beyond_attempts) +
+                  " calls: " + request);
+}
+
 std::map<unsigned, std::size_t> run_ledger::statuses() const {
     std::map<unsigned, std::size_t> counts;
     for (auto const& [request, call] : calls_)
@@ -92,12 +171,31 @@
     return found == traffic_.end() ? 0 : found->second.retries;
 }
 
-void run_ledger::on_arrival(std::string const& request, platform::standin::target_standin const& target) {
+void run_ledger::on_arrival(std::string const& request, platform::standin::target_standin const& target,
+                            std::optional<base::milliseconds> time_left) {
     auto const now = base::clock::now();
     check_limit(request, target.id(), now);
     auto const call = calls_.find(request);
-    if (call != calls_.end() && ++call->second.arrivals > 1)
+    if (call == calls_.end())
+        return;
+    auto& reached = call->second;
+    reached.last_target = target.id();
+    reached.target_broke_off = false;
+    if (++reached.arrivals > 1)
         check_retry_bound(request, target.where().service, now);
+    check_time_left(request, reached, time_left, now);
+}
+
+void run_ledger::on_break_off(std::string const& request) {
+    calls_[request].target_broke_off = true;
+}
+
+void run_ledger::on_end(platform::standin::target_standin const& target) {
+    for (auto& [request, call] : calls_) {
+        call.run_at.erase(target.id());
+        if (!call.ended && call.last_target == target.id())
+            call.target_broke_off = true;
+    }
 }
 
 void run_ledger::check_retry_bound(std::string const& request, std::string const& service, base::time_point now) {
@@ -154,6 +252,8 @@
         violation("ran twice: " + request + " at " + target.id());
     if (!continued && call.ended && call.end == call_end::refused && !call.may_run_again)
         violation("ran after it was refused: " + request + " at " + target.id());
+    if (!continued && call.run_at.insert(target.id()).second)
+        check_attempts(request, call, now);
     check_crashing_run(call, now);
     auto const closed = closed_.find(target.id());
     if (closed != closed_.end() && now > closed->second + drain_bound && calm_since(closed->second - contact_time))
@@ -161,7 +261,9 @@
 }
 
 void run_ledger::on_run_complete(std::string const& request) {
-    calls_[request].run_complete = true;
+    auto& call = calls_[request];
+    call.run_complete = true;
+    call.completed_at = base::clock::now();
 }
 
 void run_ledger::on_request_crash(std::string const& request, platform::standin::target_standin const&) {
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -3,11 +3,13 @@
 #include "base/time.h"
 #include "support/platform/target_standin.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +23,32 @@
     failed,
     /// The connection ended without a whole answer.
     broken,
+    /// The caller ended it.
+    left,
+};
+
+/// What a caller and its route allow a call.
+struct call_bounds {
+    base::milliseconds deadline{0};
+    base::milliseconds route_timeout{0};
+    std::uint32_t maximum_attempts{1};
+};
+
+/// How a call went to an entry.
+struct sending {
+    std::size_t entry{0};
+    bool plain{true};
+    /// Over a connection that had carried calls before.
+    bool kept{false};
+    call_bounds bounds{};
+    base::time_point at{base::clock::now()};
+};
+
+/// How far a fault reaches.
+enum class fault_reach : std::uint8_t {
+    /// Targets and their agents, so that entries remain in touch.
+    targets,
+    entries,
 };
 
 struct call_record {
@@ -35,14 +63,21 @@
     bool run_complete{false};
     call_end end{call_end::broken};
     bool ended{false};
-    /// Zero until the call was sent to an entry.
-    base::time_point sent_at{};
-    std::size_t entry{0};
-    bool plain{true};
-    /// Over a connection that had carried calls before.
-    bool kept{false};
+    /// Empty until the call was sent to an entry.
+    std::optional<sending> sent;
     /// Zero without an answer.
     unsigned status{0};
+    base::time_point first_arrival{};
+    /// When the time ends that was handed on with the first arrival.
+    base::time_point first_deadline{};
+    base::time_point completed_at{};
+    /// Targets that ran it and have not ended since.
+    std::set<std::string> run_at;
+    std::string last_target;
+    /// The last target that it reached ended, or ended the connection.
+    bool target_broke_off{false};
+    /// Ran at more targets than its route allows.
+    bool beyond_attempts{false};
 };
 
 /// A plain call that an entry passed on and cut off without an answer.
@@ -62,27 +97,45 @@
     /// Begins a call whose content crashes every target that runs it. Such calls are not counted.
     void begin_crashing_call(std::string const& request, bool may_run_again, std::string const& service,
                              std::string const& content);
-    /// The call goes to the entry, over a connection that has carried calls before or not.
-    void send_call(std::string const& request, std::size_t entry, bool plain, bool kept,
-                   base::time_point at = base::clock::now());
+    void send_call(std::string const& request, sending const& sent) { calls_[request].sent = sent; }
     void answer_call(std::string const& request, unsigned status) { calls_[request].status = status; }
     void end_call(std::string const& request, call_end end, base::time_point at = base::clock::now());
     /// The entry receives its first SIGTERM.
-    void begin_stop(std::size_t entry, base::time_point at = base::clock::now()) { stops_[entry].push_back(at); }
-    void on_arrival(std::string const& request, platform::standin::target_standin const& target) override;
+    void begin_stop(std::size_t entry, base::time_point at = base::clock::now()) {
+        entries_[entry].stops.push_back(at);
+        start_entry(entry, at);
+    }
+    /// The entry was started, killed or told again to stop.
+    void start_entry(std::size_t entry, base::time_point at = base::clock::now()) {
+        entries_[entry].in_touch_after = at + contact_time;
+    }
+    /// The entry receives SIGHUP.
+    void reload_entry(std::size_t entry, base::time_point at = base::clock::now()) {
+        entries_[entry].reloads.push_back(at);
+    }
+    void on_arrival(std::string const& request, platform::standin::target_standin const& target,
+                    std::optional<base::milliseconds> time_left) override;
     void on_run(std::string const& request, platform::standin::target_standin const& target, bool continued) override;
     void on_run_complete(std::string const& request) override;
+    void on_break_off(std::string const& request) override;
+    void on_end(platform::standin::target_standin const& target) override;
     void on_request_crash(std::string const& request, platform::standin::target_standin const& target) override;
     void record_crash(std::string const& content, base::time_point at) { crashing_[content].crashes.push_back(at); }
 
     /// A fault that nobody planned is at work.
-    void begin_disturbance() { ++disturbances_; }
+    void begin_disturbance(fault_reach reach = fault_reach::entries) { ++disturbances_[reach].open; }
     /// Its effects last until then.
-    void end_disturbance(base::time_point until) {
-        --disturbances_;
-        disturbed_until_ = std::max(disturbed_until_, until);
+    void end_disturbance(base::time_point until, fault_reach reach = fault_reach::entries) {
+        auto& disturbed = disturbances_[reach];
+        --disturbed.open;
+        disturbed.until = std::max(disturbed.until, until);
+    }
+    /// No fault of that reach or a longer one has been at work since.
+    bool calm_since(base::time_point since, fault_reach reach = fault_reach::targets) const {
+        return std::ranges::all_of(disturbances_, [&](auto const& item) {
+            return item.first < reach || (item.second.open == 0 && item.second.until < since);
+        });
     }
-    bool calm_since(base::time_point since) const { return disturbances_ == 0 && disturbed_until_ < since; }
     /// The metadata store tells that the target leaves or its failure domain is evacuated; nothing new may come after.
     void close_target(std::string const& target_id, base::time_point from) { closed_[target_id] = from; }
     void open_target(std::string const& target_id) { closed_.erase(target_id); }
@@ -128,6 +181,29 @@
         std::size_t retries{0};
     };
 
+    struct disturbance {
+        std::uint32_t open{0};
+        base::time_point until{};
+    };
+
+    struct entry_record {
+        std::vector<base::time_point> stops;
+        std::vector<base::time_point> reloads;
+        base::time_point in_touch_after{};
+    };
+
+    /// Time in which an undisturbed entry is in touch.
+    static constexpr base::milliseconds contact_time{4000};
+
+    /// The entry's process ran, and nothing has disturbed it, for the contact time before that moment.
+    bool in_touch(std::size_t entry, base::time_point at) const;
+    /// The last SIGTERM that the entry got no later than that.
+    std::optional<base::time_point> stop_before(std::size_t entry, base::time_point at) const;
+    bool around_planned_work(call_record const& call, base::time_point ended) const;
+    void check_loss(std::string const& request, call_record const& call, base::time_point ended);
+    void check_time_left(std::string const& request, call_record& call, std::optional<base::milliseconds> time_left,
+                         base::time_point now);
+    void check_attempts(std::string const& request, call_record& call, base::time_point now);
     void record_cut(std::string const& request, call_record const& call, base::time_point at);
     void check_crashing_run(call_record const& call, base::time_point now);
     void check_limit(std::string const& request, std::string const& target_id, base::time_point now);
@@ -138,11 +214,15 @@
     std::map<std::string, base::time_point> closed_;
     std::map<std::string, limited_target> limited_;
     std::map<std::string, service_traffic> traffic_;
-    std::map<std::size_t, std::vector<base::time_point>> stops_;
+    std::map<std::size_t, entry_record> entries_;
     std::vector<cut_call> cut_calls_;
     double largest_retry_use_{0};
-    std::uint32_t disturbances_{0};
-    base::time_point disturbed_until_{};
+    std::map<fault_reach, disturbance> disturbances_;
+    /// Calls that were passed on to sound targets over kept connections and closed without an answer.
+    std::uint32_t closed_unanswered_{0};
+    std::uint32_t beyond_attempts_{0};
+    std::uint32_t handed_too_much_time_{0};
+    std::uint32_t judged_time_left_{0};
     std::vector<std::string> violations_;
 };
 
--- a/Tests/soak/run_ledger_test.cpp
+++ b/Tests/soak/run_ledger_test.cpp
@@ -4,7 +4,9 @@
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace cyclamenledge::tests {
@@ -21,6 +23,13 @@
     platform::standin::target_directory directory;
     platform::standin::target_standin target{
         context, {"orders", "domain", "127.0.0.1:1", "127.0.0.1:2", false}, directory, ledger, 1};
+    platform::standin::target_standin other{
+        context, {"orders", "domain", "127.0.0.1:3", "127.0.0.1:4", false}, directory, ledger, 1};
+
+    world() {
+        std::ignore = target.start(1);
+        std::ignore = other.start(1);
+    }
 
     void run_crashing(int crashes, base::duration ago, int runs) {
         for (int crash = 0; crash < crashes; ++crash)
@@ -34,14 +43,46 @@
     void arrive_at_limited(int requests, base::duration named_ago) {
         ledger.name_limit(target.id(), 2, base::clock::now() - named_ago);
         for (int number = 0; number < requests; ++number)
-            ledger.on_arrival(std::to_string(number), target);
+            ledger.on_arrival(std::to_string(number), target, {});
     }
     void arrive_again(int calls, int retries) {
         for (int number = 0; number < calls; ++number)
             ledger.begin_call(std::to_string(number), true, "orders");
         for (int number = 0; number < retries; ++number) {
-            ledger.on_arrival(std::to_string(number), target);
-            ledger.on_arrival(std::to_string(number), target);
+            ledger.on_arrival(std::to_string(number), target, {});
+            ledger.on_arrival(std::to_string(number), target, {});
+        }
+    }
+    /// An entry passes a call on that its caller sent so long ago.
+    void pass_on(std::string const& request, base::duration sent_ago, bool kept = false, bool plain = true) {
+        ledger.begin_call(request, false, "orders");
+        ledger.send_call(request, {0, plain, kept, {2500ms, 3000ms, 1}, base::clock::now() - sent_ago});
+        ledger.on_arrival(request, target, 2500ms);
+        run(request);
+    }
+    void cut(std::string const& request) { ledger.end_call(request, call_end::broken); }
+    void stop(base::duration ago) { ledger.begin_stop(0, base::clock::now() - ago); }
+    void cut_unanswered(int calls, bool kept) {
+        for (int number = 0; number < calls; ++number) {
+            pass_on(std::to_string(number), 1s, kept);
+            cut(std::to_string(number));
+        }
+    }
+    void hand_on(int calls, std::optional<base::milliseconds> time_left) {
+        for (int number = 0; number < calls; ++number) {
+            auto const request = std::to_string(number);
+            ledger.begin_call(request, true, "orders");
+            ledger.send_call(request, {0, true, false, {2500ms, 3000ms, 2}});
+            ledger.on_arrival(request, target, time_left);
+        }
+    }
+    void run_at_both(int calls) {
+        for (int number = 0; number < calls; ++number) {
+            auto const request = std::to_string(number);
+            ledger.begin_call(request, true, "orders");
+            ledger.send_call(request, {});
+            run(request);
+            ledger.on_run(request, other, false);
         }
     }
     void run(std::string const& request, bool continued = false) { ledger.on_run(request, target, continued); }
@@ -125,6 +166,190 @@
              false},
             {"more retries than the bound of the service permits", [](world& played) { played.arrive_again(100, 75); },
              true},
+            {"cut off in a planned stop before its target has finished",
+             [](world& played) {
+                 played.stop(2s);
+                 played.pass_on("a", 1s);
+                 played.cut("a");
+             },
+             true},
+            {"a stream is cut off in a planned stop",
+             [](world& played) {
+                 played.stop(2s);
+                 played.pass_on("a", 1s, false, false);
+                 played.cut("a");
+             },
+             true},
+            {"sent before the SIGTERM and cut off after it",
+             [](world& played) {
+                 played.stop(1s);
+                 played.pass_on("a", 2s);
+                 played.cut("a");
+             },
+             true},
+            {"cut off in the second of two stops",
+             [](world& played) {
+                 played.stop(20s);
+                 played.stop(2s);
+                 played.pass_on("a", 1s);
+                 played.cut("a");
+             },
+             true},
+            {"cut off when the process is gone",
+             [](world& played) {
+                 played.stop(8500ms);
+                 played.pass_on("a", 1s);
+                 played.cut("a");
+             },
+             true},
+            {"cut off later than a second after the grace time",
+             [](world& played) {
+                 played.stop(9500ms);
+                 played.pass_on("a", 1s);
+                 played.cut("a");
+             },
+             false},
+            {"another entry is stopped",
+             [](world& played) {
+                 played.ledger.begin_stop(1);
+                 played.pass_on("a", 1s);
+                 played.cut("a");
+             },
+             false},
+            {"no target received it",
+             [](world& played) {
+                 played.stop(2s);
+                 played.ledger.begin_call("a", false, "orders");
+                 played.ledger.send_call("a", {0, true, true, {2500ms, 3000ms, 1}});
+                 played.cut("a");
+             },
+             false},
+            {"its caller leaves in a planned stop",
+             [](world& played) {
+                 played.stop(2s);
+                 played.pass_on("a", 1s);
+                 played.ledger.end_call("a", call_end::left);
+             },
+             false},
+            {"its target breaks off in a planned stop",
+             [](world& played) {
+                 played.stop(2s);
+                 played.pass_on("a", 1s);
+                 played.ledger.on_break_off("a");
+                 played.cut("a");
+             },
+             false},
+            {"its target ends in a planned stop",
+             [](world& played) {
+                 played.stop(2s);
+                 played.pass_on("a", 1s);
+                 played.ledger.on_end(played.target);
+                 played.cut("a");
+             },
+             false},
+            {"an earlier target of it ends in a planned stop",
+             [](world& played) {
+                 played.stop(2s);
+                 played.pass_on("a", 1s);
+                 played.ledger.on_arrival("a", played.other, 2500ms);
+                 played.ledger.on_end(played.target);
+                 played.cut("a");
+             },
+             true},
+            {"its deadline is over in a planned stop",
+             [](world& played) {
+                 played.stop(4s);
+                 played.pass_on("a", 2600ms);
+                 played.cut("a");
+             },
+             false},
+            {"its target needs the grace time of an early call",
+             [](world& played) {
+                 played.stop(7s);
+                 played.ledger.begin_call("a", false, "orders");
+                 played.ledger.send_call("a", {0, false, false, {15s, 20s, 1}, base::clock::now() - 4500ms});
+                 played.ledger.on_arrival("a", played.target, 15s);
+                 played.run("a");
+                 played.cut("a");
+             },
+             false},
+            {"its target works late on a call that was sent late",
+             [](world& played) {
+                 played.stop(7s);
+                 played.ledger.begin_call("a", false, "orders");
+                 played.ledger.send_call("a", {0, false, false, {15s, 20s, 1}, base::clock::now() - 3500ms});
+                 played.ledger.on_arrival("a", played.target, 15s);
+                 played.run("a");
+                 played.cut("a");
+             },
+             true},
+            {"cut off in a planned stop while something is harmed",
+             [](world& played) {
+                 played.ledger.begin_disturbance(soak::fault_reach::targets);
+                 played.stop(2s);
+                 played.pass_on("a", 1s);
+                 played.cut("a");
+             },
+             false},
+            {"cut off after a SIGHUP",
+             [](world& played) {
+                 played.ledger.reload_entry(0, base::clock::now() - 2s);
+                 played.pass_on("a", 1s);
+                 played.cut("a");
+             },
+             true},
+            {"sent long after a SIGHUP",
+             [](world& played) {
+                 played.ledger.reload_entry(0, base::clock::now() - 5s);
+                 played.pass_on("a", 1s);
+                 played.cut("a");
+             },
+             false},
+            {"three calls of kept connections are closed without an answer",
+             [](world& played) { played.cut_unanswered(3, true); }, false},
+            {"four calls of kept connections are closed without an answer",
+             [](world& played) { played.cut_unanswered(4, true); }, true},
+            {"four calls of kept connections are closed while a target is harmed",
+             [](world& played) {
+                 played.ledger.begin_disturbance(soak::fault_reach::targets);
+                 played.cut_unanswered(4, true);
+             },
+             true},
+            {"four calls of kept connections are closed while entries are harmed",
+             [](world& played) {
+                 played.ledger.begin_disturbance();
+                 played.cut_unanswered(4, true);
+             },
+             false},
+            {"four calls of kept connections are closed soon after a start",
+             [](world& played) {
+                 played.ledger.start_entry(0, base::clock::now() - 3s);
+                 played.cut_unanswered(4, true);
+             },
+             false},
+            {"four calls of new connections are closed without an answer",
+             [](world& played) { played.cut_unanswered(4, false); }, false},
+            {"targets are handed the time that is left", [](world& played) { played.hand_on(100, 2900ms); }, false},
+            {"twenty targets are handed more time than is left", [](world& played) { played.hand_on(20, 3100ms); },
+             false},
+            {"targets are handed more time than is left", [](world& played) { played.hand_on(21, 3100ms); }, true},
+            {"targets are handed no time", [](world& played) { played.hand_on(21, {}); }, true},
+            {"three calls run at more targets than their route allows", [](world& played) { played.run_at_both(3); },
+             false},
+            {"four calls run at more targets than their route allows", [](world& played) { played.run_at_both(4); },
+             true},
+            {"calls run at another target after theirs has ended",
+             [](world& played) {
+                 for (int number = 0; number < 4; ++number) {
+                     auto const request = std::to_string(number);
+                     played.ledger.begin_call(request, true, "orders");
+                     played.ledger.send_call(request, {});
+                     played.run(request);
+                     played.ledger.on_end(played.target);
+                     played.ledger.on_run(request, played.other, false);
+                 }
+             },
+             false},
             {"nobody sent it", [](world& played) { played.run("a"); }, true},
             {"at a target that left",
              [](world& played) {
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -90,6 +90,7 @@
 
 void target_standin::end_incarnation(std::string const& request) {
     up_ = false;
+    observer_.on_end(*this);
     ++incarnation_;
     runs_.clear();
     copies_.clear();
@@ -175,7 +176,9 @@
         std::ignore = co_await client->send(not_run(421, request));
         co_return;
     }
-    observer_.on_arrival(request, *this);
+    auto const deadline = header(received, "X-Deadline-Ms");
+    observer_.on_arrival(request, *this,
+                         deadline.empty() ? std::nullopt : std::optional{base::milliseconds{number(deadline)}});
     if (co_await refuse_beyond_limit(client, request))
         co_return;
     if (where_.engine)
@@ -225,6 +228,7 @@
     std::string_view const target{received.target().data(), received.target().size()};
     co_await pause(work_time(target));
     if (incarnation != incarnation_ || happens(faults_.lost)) {
+        observer_.on_break_off(request);
         client->close();
         co_return;
     }
@@ -241,6 +245,7 @@
         auto const half = answer.body().substr(0, answer.body().size() / 2);
         if (co_await client->start_stream(std::move(answer.base())))
             std::ignore = co_await client->send_chunk(half);
+        observer_.on_break_off(request);
         client->close();
         co_return;
     }
@@ -267,6 +272,7 @@
     auto const prompt = static_cast<std::uint32_t>(number(header(received, "X-Token-Count")));
     if (happens(faults_.reset)) {
         observer_.on_run(request, *this, continued && take_copy(source, request));
+        observer_.on_break_off(request);
         client->close();
         co_return;
     }
@@ -300,6 +306,8 @@
         incarnation == incarnation_ && *open && static_cast<bool>(co_await client->start_stream(std::move(head)));
     bool const stalled = happens(faults_.stalled);
     bool const paused = happens(faults_.paused);
+    if (stalled)
+        observer_.on_break_off(request);
     for (auto event = first; sound && *open && event <= total; ++event) {
         while (stalled && event > first && sound && *open && incarnation == incarnation_) {
             sound = static_cast<bool>(co_await client->send_chunk(":"));
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -29,12 +29,17 @@
     target_observer& operator=(target_observer const&) = delete;
     virtual ~target_observer() = default;
 
-    /// A request reached the target, which may still refuse it.
-    virtual void on_arrival(std::string const& /*request*/, target_standin const& /*target*/) {}
+    /// A request reached the target, which may still refuse it. Its caller waits for the time that is handed on.
+    virtual void on_arrival(std::string const& /*request*/, target_standin const& /*target*/,
+                            std::optional<base::milliseconds> /*time_left*/) {}
     /// A request was accepted. A continued one goes on from the memory of an earlier run.
     virtual void on_run(std::string const& request, target_standin const& target, bool continued) = 0;
     /// The target has made its whole answer.
     virtual void on_run_complete(std::string const& request) = 0;
+    /// The target ends the connection before its answer is complete.
+    virtual void on_break_off(std::string const& /*request*/) {}
+    /// The target ended with everything that was at work there.
+    virtual void on_end(target_standin const& /*target*/) {}
     /// The target crashed because it ran the request.
     virtual void on_request_crash(std::string const& /*request*/, target_standin const& /*target*/) {}
 };
