Let planned stops of the fault soak overlap, with signals and publications in between

Entries were stopped one at a time, so that the soak never had two or three of them in their stops and first seconds together, as in the reported incident. A stop is now a series of one to three entries with 0.3 to 3.5 s between them, some after a SIGHUP; a second SIGTERM, a SIGHUP or a publication may come during each. One entry remains.

--- a/Development/soak/fault_plan.cpp
+++ b/Development/soak/fault_plan.cpp
@@ -25,6 +25,12 @@
 constexpr std::uint64_t longest_gap = 700;
 // The planned stop of an entry must not last longer.
 constexpr base::milliseconds stop_limit{9000};
+constexpr std::uint64_t most_stops_in_series = 3;
+// From one stop of a series to the next, in milliseconds, so that stops overlap.
+constexpr std::uint64_t shortest_stop_gap = 300;
+constexpr std::uint64_t longest_stop_gap = 3500;
+// Looks at a stopping process for each signal or publication during its stop.
+constexpr std::uint64_t ticks_per_interruption = 40;
 constexpr base::milliseconds settle_check{50};
 // Effects of a fault that was taken back, such as requests under way.
 constexpr base::milliseconds after_effect{1000};
@@ -82,12 +88,14 @@
     }
 }
 
+void fault_plan::log(std::string const& text) {
+    auto const since = std::chrono::duration_cast<base::milliseconds>(base::clock::now() - began_);
+    log_ << since.count() << " ms " << text << std::endl;
+}
+
 asio::awaitable<void> fault_plan::perform(action const& chosen) {
-    auto const since = [&] {
-        return std::chrono::duration_cast<base::milliseconds>(base::clock::now() - began_).count();
-    };
     ++open_;
-    log_ << since() << " ms " << chosen.name << std::endl;
+    log(chosen.name);
     if (chosen.reach)
         ledger_.begin_disturbance(*chosen.reach);
     co_await (this->*chosen.act)();
@@ -130,41 +138,85 @@
 }
 
 asio::awaitable<void> fault_plan::stop_entry() {
-    auto const stopping =
-        std::ranges::count_if(world_.entries(), [](auto const& entry) { return entry->process.ended_on_purpose; });
-    if (stopping == 0)
-        co_await stop_planned(any_entry());
+    auto const first = random_.below(world_.entries().size());
+    auto const stops = 1 + random_.below(most_stops_in_series);
+    for (std::uint64_t number = 0; number < stops; ++number) {
+        auto const stopping =
+            std::ranges::count_if(world_.entries(), [](auto const& entry) { return entry->process.ended_on_purpose; });
+        // One entry remains.
+        if (static_cast<std::size_t>(stopping) + 1 < world_.entries().size())
+            begin_stop(*world_.entries()[(first + number) % world_.entries().size()], true);
+        if (number + 1 < stops)
+            co_await pause(shortest_stop_gap, longest_stop_gap);
+    }
 }
 
 asio::awaitable<void> fault_plan::stop_in_series(base::milliseconds interval, base::time_point until) {
     asio::steady_timer timer{context_};
     for (std::size_t number = 0; base::clock::now() < until; ++number) {
-        ++open_;
-        asio::co_spawn(context_, stop_planned(*world_.entries()[number % world_.entries().size()]),
-                       [this](std::exception_ptr const&) { --open_; });
+        begin_stop(*world_.entries()[number % world_.entries().size()], false);
         timer.expires_after(interval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
 
-asio::awaitable<void> fault_plan::stop_planned(entry_site& entry) {
+void fault_plan::begin_stop(entry_site& entry, bool interrupted) {
+    ++open_;
+    asio::co_spawn(context_, stop_planned(entry, interrupted), [this](std::exception_ptr const&) { --open_; });
+}
+
+asio::awaitable<void> fault_plan::stop_planned(entry_site& entry, bool interrupted) {
     auto& process = entry.process;
-    if (process.ended_on_purpose || process.paused)
+    auto const life = process.life;
+    if (interrupted && random_.below(3) == 0 && !process.ended_on_purpose && !process.paused) {
+        ledger_.reload_entry(entry.number);
+        process.process->send_signal(SIGHUP);
+        co_await pause(20, 1500);
+    }
+    if (process.ended_on_purpose || process.paused || process.life != life)
         co_return;
-    ledger_.begin_stop(entry.number);
     process.ended_on_purpose = true;
     process.stopping = true;
+    log(process.name + " SIGTERM");
+    ledger_.begin_stop(entry.number);
     process.process->send_signal(SIGTERM);
     auto const until = base::clock::now() + stop_limit;
-    while (process.process->running() && base::clock::now() < until)
+    while (process.process->running() && base::clock::now() < until) {
         co_await pause(50, 50);
+        if (interrupted && random_.below(ticks_per_interruption) == 0)
+            interrupt_stop(entry);
+    }
     if (process.process->running())
         ledger_.violation(process.name + " did not end its planned stop");
+    log(process.name + " ended its stop");
     co_await pause(50, 400);
     world_.start_daemon(process);
     ledger_.start_entry(entry.number);
 }
 
+void fault_plan::interrupt_stop(entry_site& entry) {
+    struct interruption {
+        char const* name;
+        void (*act)(fault_plan&, entry_site&);
+    };
+    static constexpr std::array<interruption, 3> table{{
+        {"second SIGTERM",
+         [](fault_plan& plan, entry_site& stopped) {
+             plan.ledger_.start_entry(stopped.number);
+             stopped.process.process->send_signal(SIGTERM);
+         }},
+        {"SIGHUP",
+         [](fault_plan& plan, entry_site& stopped) {
+             plan.ledger_.reload_entry(stopped.number);
+             stopped.process.process->send_signal(SIGHUP);
+         }},
+        {"publication", [](fault_plan& plan, entry_site&) { plan.world_.publish_configuration(); }},
+    }};
+    auto const& chosen = table.at(random_.below(table.size()));
+    log(entry.process.name + " " + chosen.name);
+    chosen.act(*this, entry);
+}
+
 asio::awaitable<void> fault_plan::pause_entry() {
     auto& process = any_entry().process;
     if (process.ended_on_purpose || process.paused)
--- a/Development/soak/fault_plan.h
+++ b/Development/soak/fault_plan.h
@@ -30,17 +30,22 @@
 
 private:
     struct action {
-        char const* name;
+        char const* name{nullptr};
         /// Empty for a planned operation.
         std::optional<fault_reach> reach;
-        boost::asio::awaitable<void> (fault_plan::*act)();
+        boost::asio::awaitable<void> (fault_plan::*act)(){nullptr};
     };
     static std::span<action const> actions();
 
+    void log(std::string const& text);
     boost::asio::awaitable<void> perform(action const& chosen);
     boost::asio::awaitable<void> kill_entry();
     boost::asio::awaitable<void> stop_entry();
-    boost::asio::awaitable<void> stop_planned(entry_site& entry);
+    /// SIGTERM, and a start when the process has ended. Signals and publications may come before the end.
+    boost::asio::awaitable<void> stop_planned(entry_site& entry, bool interrupted);
+    /// Stops the entry beside the caller, so that stops overlap.
+    void begin_stop(entry_site& entry, bool interrupted);
+    void interrupt_stop(entry_site& entry);
     boost::asio::awaitable<void> pause_entry();
     boost::asio::awaitable<void> kill_agent();
     boost::asio::awaitable<void> pause_agent();
