Bound the resumptions that are sent for one run of a stream

At most three resumptions are sent to take over from one run, by the move, by a stall or by its loss together. They are counted in the budget as before, and no memory is copied when no resumption may follow.

--- a/Libraries/forwarding/attempt_policy.h
+++ b/Libraries/forwarding/attempt_policy.h
@@ -79,6 +79,10 @@
 /// Returns what to do about a run that makes no progress. No value if there is nothing to do but wait.
 std::optional<stall_rule> rule_for_stall(run_facts const& facts);
 
+/// Resumptions of a stream from copies and replicas that are sent for one run. Each one arrives at a target, whether it
+/// is refused or not.
+inline constexpr std::uint32_t maximum_resumptions_per_run = 3;
+
 /// Number of unreachable targets after which the request fails.
 inline constexpr std::uint32_t maximum_unreachable_targets = 4;
 
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -59,6 +59,11 @@
 // Time that an engine takes per token of a run while it serves a few others.
 constexpr base::milliseconds engine_time_per_token{10};
 
+/// Whether another resumption may be sent to take over from the run.
+bool may_resume(stream_run const& source) {
+    return source.resumptions < forwarding::maximum_resumptions_per_run;
+}
+
 std::int64_t milliseconds_since(base::time_point start, base::time_point now) {
     return std::chrono::duration_cast<base::milliseconds>(now - start).count();
 }
@@ -482,7 +487,7 @@
         if (!copy)
             co_return false;
         moving_ = true;
-        bool const taken_over = co_await resume_from_copy(*copy, takeover_timeout_when_stalled);
+        bool const taken_over = co_await resume_from_copy(current, *copy, takeover_timeout_when_stalled);
         moving_ = false;
         if (taken_over)
             parts_.placements.record_outcome(current->target, forwarding::target_outcome::failed);
@@ -557,7 +562,7 @@
     auto const copy = consume_backup(ended);
     if (!copy)
         return false;
-    launch(make_resuming_run(relay_.start_run(), *copy));
+    launch(make_resuming_run(relay_.start_run(), ended, *copy));
     log::write(log::event_kind::stream_recovered, {{"request", request_.caller.id},
                                                    {"target", copy->target},
                                                    {"reason", "backup"},
@@ -568,7 +573,7 @@
 std::optional<stream_exchange::resumable_copy> stream_exchange::consume_backup(stream_run& run) {
     // The memory is copied while the run generates, so without an event there may be no copy, and a target that does
     // not check for it would run the request again.
-    if (!run.received_event)
+    if (!run.received_event || !may_resume(run))
         return std::nullopt;
     // The backup is used once: when a target has refused it, the copy does not exist.
     auto const target = std::exchange(run.backup_target, {});
@@ -577,7 +582,9 @@
     return resumable_copy{target, {run.context.backup_address, request_.caller.id}};
 }
 
-stream_run_pointer stream_exchange::make_resuming_run(forwarding::run_number number, resumable_copy const& copy) {
+stream_run_pointer stream_exchange::make_resuming_run(forwarding::run_number number, stream_run& source,
+                                                      resumable_copy const& copy) {
+    ++source.resumptions;
     auto const now = base::clock::now();
     parts_.board.fleet.begin_request(copy.target, std::nullopt, now);
     parts_.board.retry_budget(request_.service).spend(now);
@@ -607,7 +614,7 @@
     if (moving_ || phase_ != phase::running || caller_left_)
         return;
     auto const active = find_run(relay_.active());
-    if (!active || !active->sent)
+    if (!active || !active->sent || !may_resume(*active))
         return;
     auto const* view = parts_.board.fleet.find(active->target);
     if (view == nullptr || !view->leaving(base::clock::now()))
@@ -640,12 +647,12 @@
         auto const source = find_run(relay_.active());
         auto const* view = source ? parts_.board.fleet.find(source->target) : nullptr;
         bool const movable = phase_ == phase::running && !caller_left_ && engine_ != nullptr && engine_->moves;
-        if (!movable || view == nullptr || !view->leaving(base::clock::now()))
+        if (!movable || view == nullptr || !view->leaving(base::clock::now()) || !may_resume(*source))
             break;
         auto const backup = consume_backup(*source);
-        if (backup && co_await resume_from_copy(*backup, takeover_timeout))
+        if (backup && co_await resume_from_copy(source, *backup, takeover_timeout))
             break;
-        if (co_await try_move(source, refused))
+        if (may_resume(*source) && co_await try_move(source, refused))
             break;
         co_await pause(move_retry_pause);
     }
@@ -726,19 +733,20 @@
                                                 {"tokens", tokens_held()},
                                                 {"duration_ms", milliseconds_since(copy_started, now)}});
     resumable_copy made{chosen.target, {source->address, copied.handle}};
-    bool const taken_over = co_await resume_from_copy(std::move(made), takeover_timeout);
+    bool const taken_over = co_await resume_from_copy(source, std::move(made), takeover_timeout);
     if (!taken_over)
         refused.push_back(chosen.target);
     co_return taken_over;
 }
 
-asio::awaitable<bool> stream_exchange::resume_from_copy(resumable_copy copy, base::milliseconds timeout) {
+asio::awaitable<bool> stream_exchange::resume_from_copy(stream_run_pointer source, resumable_copy copy,
+                                                        base::milliseconds timeout) {
     if (phase_ != phase::running || caller_left_)
         co_return true;
     // The target may have started to leave while the copy was made.
     if (!parts_.board.fleet.may_receive(copy.target, base::clock::now()))
         co_return false;
-    auto const started = make_resuming_run(relay_.start_successor(), copy);
+    auto const started = make_resuming_run(relay_.start_successor(), *source, copy);
     launch(started);
     while (!started->ended && relay_.active() != started->number && !caller_left_) {
         takeover_timer_.expires_after(timeout);
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -80,7 +80,7 @@
     void recover(stream_run& ended, send_result result);
     bool resume_from_backup(stream_run& ended);
     std::optional<resumable_copy> consume_backup(stream_run& run);
-    stream_run_pointer make_resuming_run(forwarding::run_number number, resumable_copy const& copy);
+    stream_run_pointer make_resuming_run(forwarding::run_number number, stream_run& source, resumable_copy const& copy);
     void on_takeover(stream_run const& successor, forwarding::stream_event const& event);
     void choose_backup(stream_run& started);
     void cancel_others(forwarding::run_number kept);
@@ -91,7 +91,8 @@
     /// engine stops.
     forwarding::copy_span widest_copy(stream_run const& source) const;
     boost::asio::awaitable<bool> try_move(stream_run_pointer source, std::vector<std::string>& refused);
-    boost::asio::awaitable<bool> resume_from_copy(resumable_copy copy, base::milliseconds timeout);
+    boost::asio::awaitable<bool> resume_from_copy(stream_run_pointer source, resumable_copy copy,
+                                                  base::milliseconds timeout);
     boost::asio::awaitable<void> pause(base::milliseconds length);
 
     // The caller.
--- a/Libraries/forwarding_entry/stream_run.h
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -9,6 +9,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -22,6 +23,8 @@
     platform::forwarded_context context;
     /// Target to which the memory of the run is replicated. Empty without a backup and after the backup was used.
     std::string backup_target;
+    /// Resumptions that were sent to take over from the run.
+    std::uint32_t resumptions{0};
     /// Null before the connection is established and after the run has ended.
     http::upstream_pointer connection;
     /// Opened before the run was placed. Otherwise the run opens its own.
--- a/Tests/process/stream_recovery/stream_recovery_test.cpp
+++ b/Tests/process/stream_recovery/stream_recovery_test.cpp
@@ -1,9 +1,11 @@
+#include "forwarding/attempt_policy.h"
 #include "support/platform_process/platform_world.h"
 #include "support/table_test.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace cyclamenledge::tests::process {
@@ -11,6 +13,7 @@
 class stream_recovery_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(stream_recovery_test);
     CPPUNIT_TEST(stream_without_an_event_does_not_resume_from_a_replica);
+    CPPUNIT_TEST(stream_of_a_leaving_engine_sends_few_resumptions);
     CPPUNIT_TEST(stream_without_a_successor_waits_for_its_target);
     CPPUNIT_TEST(stalled_stream_that_sends_bytes_goes_on_elsewhere);
     CPPUNIT_TEST_SUITE_END();
@@ -52,6 +55,28 @@
         });
     }
 
+    // Guards against resumptions beyond the retry budget: a stream whose copies are refused tried one after the other.
+    void stream_of_a_leaving_engine_sends_few_resumptions() {
+        platform_world world{{.entries = 1, .engines = 6, .services = 1}};
+        world.act([&] {
+            for (auto const& site : world.fleet().targets())
+                site->target->set_faults({.copy_refused = 1});
+        });
+        std::thread caller{[&] { world.call({"moved", "/gen/160", 200}); }};
+        std::this_thread::sleep_for(std::chrono::milliseconds{500});
+        world.act([&] {
+            for (auto const& site : world.fleet().targets()) {
+                if (site->target->running("moved"))
+                    site->target->leave(std::chrono::seconds{10});
+            }
+        });
+        caller.join();
+        auto const arrivals = world.act([&] { return world.ledger().find("moved")->arrivals; });
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(arrivals),
+                               arrivals > 1 && arrivals <= 1 + forwarding::maximum_resumptions_per_run);
+        world.act([&] { CPPUNIT_ASSERT_EQUAL(1U, world.ledger().find("moved")->runs); });
+    }
+
     // Guards against a stream that is lost because its run is ended before another one is certain.
     void stream_without_a_successor_waits_for_its_target() {
         struct row {
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -276,7 +276,8 @@
         client->close();
         co_return;
     }
-    if ((continued && !take_copy(source, request)) || runs_.contains(request)) {
+    bool const copy_refused = continued && happens(faults_.copy_refused);
+    if (copy_refused || (continued && !take_copy(source, request)) || runs_.contains(request)) {
         auto refusal = not_run(503, request);
         add_named_limit(refusal, true);
         std::ignore = co_await client->send(std::move(refusal));
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -59,6 +59,8 @@
     double unproven{0};
     /// Sends a few bytes of its second event, one at a time, and no event more.
     double stalled{0};
+    /// Refuses a generation that resumes from a copy.
+    double copy_refused{0};
     /// Pauses for two seconds before its second event and then goes on.
     double paused{0};
 };
