End reads of endless answers by one time limit for the whole head or body

A caller of a target that sends interim answers, or a body without length, for ever would have waited without an end: each interim answer started the time limit anew, and a stream expires only while it waits for bytes, so a server that always has bytes ready never met the limit. Interim answers had no limit of bytes either.

The head with all interim answers before it has one deadline and one limit of 32 KiB, and the deadline is checked between reads.

Failed before (bound 1 s, limit 300 ms; 'ended 0' is still reading after 3 s): fast 'interim answers ended 0', 'body without length ended 0', 'chunks ended 0'; trickling 'interim answers ended 0'. The other rows passed before and guard the limits.

--- a/Libraries/http/upstream_connection.cpp
+++ b/Libraries/http/upstream_connection.cpp
@@ -19,7 +19,9 @@
 
 constexpr auto as_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_part_bytes = 4UL * 1024;
+// Bytes of the head with all interim answers before it.
 constexpr std::size_t longest_answer_head = 32UL * 1024;
+constexpr unsigned lowest_final_status = 200;
 // Unacknowledged bytes mark the connection as dead after this time.
 constexpr int unacknowledged_limit_ms = 4000;
 
@@ -61,6 +63,7 @@
     sending_ = true;
     ++requests_;
     parser_.reset();
+    kept_alive_ = false;
     stream_.expires_after(timeout);
     beast_http::request_serializer<beast_http::string_body> serializer{message};
     auto [code, bytes] = co_await beast_http::async_write(stream_, serializer, as_tuple);
@@ -72,51 +75,72 @@
     co_return base::success();
 }
 
-void upstream_connection::limit_read(base::milliseconds timeout) {
-    // A negative time left expires at once.
-    stream_.expires_after(std::max(timeout, base::milliseconds{1}));
+base::time_point upstream_connection::limit_reads(base::milliseconds timeout) {
+    // A negative time left expires at once, but lets a read have the bytes that are there already.
+    auto const deadline = base::clock::now() + std::max(timeout, base::milliseconds{1});
+    stream_.expires_at(deadline);
+    return deadline;
+}
+
+base::error upstream_connection::fail_read(boost::system::error_code code) {
+    failed_ = true;
+    return make_transfer_error("read", code);
+}
+
+void upstream_connection::finish_answer() {
+    kept_alive_ = parser_->keep_alive();
+    parser_.reset();
 }
 
 awaitable_result<response_head> upstream_connection::read_head(base::milliseconds timeout, bool body_expected) {
     upstream_pointer const self{this};
+    auto const deadline = limit_reads(timeout);
+    kept_alive_ = false;
+    std::size_t bytes_left = longest_answer_head;
     while (true) {
         parser_.emplace();
-        parser_->header_limit(longest_answer_head);
+        parser_->header_limit(static_cast<std::uint32_t>(bytes_left));
         parser_->body_limit(boost::none);
         parser_->skip(!body_expected);
-        limit_read(timeout);
         auto [code, bytes] = co_await beast_http::async_read_header(stream_, buffer_, *parser_, as_tuple);
-        if (code) {
-            failed_ = true;
-            co_return make_transfer_error("read", code);
-        }
+        if (code)
+            co_return fail_read(code);
         // Interim answers carry nothing for the caller.
-        if (parser_->get().result_int() >= 200)
+        if (parser_->get().result_int() >= lowest_final_status)
             break;
+        if (bytes >= bytes_left)
+            co_return fail_read(beast_http::error::header_limit);
+        // The stream does not expire between reads that find bytes.
+        if (base::clock::now() >= deadline)
+            co_return fail_read(boost::beast::error::timeout);
+        bytes_left -= bytes;
     }
-    co_return parser_->get().base();
+    auto head = parser_->get().base();
+    if (parser_->is_done())
+        finish_answer();
+    co_return head;
 }
 
 awaitable_result<std::string> upstream_connection::read_body(base::milliseconds timeout) {
     upstream_pointer const self{this};
-    if (parser_->is_done())
+    if (!parser_)
         co_return std::string{};
+    auto const deadline = limit_reads(timeout);
     std::array<char, read_part_bytes> part{};
     while (true) {
         auto& body = parser_->get().body();
         body.data = part.data();
         body.size = part.size();
-        limit_read(timeout);
         auto [code, bytes] = co_await beast_http::async_read_some(stream_, buffer_, *parser_, as_tuple);
-        if (code && code != beast_http::error::need_buffer) {
-            failed_ = true;
-            co_return make_transfer_error("read", code);
-        }
+        if (code && code != beast_http::error::need_buffer)
+            co_return fail_read(code);
         auto const received = part.size() - body.size;
-        if (received > 0)
-            co_return std::string(part.data(), received);
         if (parser_->is_done())
-            co_return std::string{};
+            finish_answer();
+        if (received > 0 || !parser_)
+            co_return std::string(part.data(), received);
+        if (base::clock::now() >= deadline)
+            co_return fail_read(boost::beast::error::timeout);
     }
 }
 
@@ -129,6 +153,9 @@
         BOOST_OUTCOME_CO_TRY(auto part, co_await read_body(left));
         if (part.empty())
             co_return body;
+        // The stream does not expire between reads that find bytes.
+        if (left.count() <= 0)
+            co_return fail_read(boost::beast::error::timeout);
         body += part;
         if (body.size() > maximum_bytes)
             co_return base::make_error(base::error_kind::payload_too_large,
@@ -137,7 +164,7 @@
 }
 
 bool upstream_connection::reusable() const {
-    return open_ && !failed_ && !ending_ && !sending_ && parser_ && parser_->is_done() && parser_->keep_alive();
+    return open_ && !failed_ && !ending_ && !sending_ && kept_alive_;
 }
 
 bool upstream_connection::quiet() {
--- a/Libraries/http/upstream_connection.h
+++ b/Libraries/http/upstream_connection.h
@@ -29,9 +29,11 @@
 
     awaitable_result<void> connect(base::milliseconds timeout);
     awaitable_result<void> send(request const& message, base::milliseconds timeout);
-    /// Reads the head of the next answer. The answer to a HEAD request has no body.
+    /// Reads the head of the next answer. The limits of time and bytes are for the head with all interim answers before
+    /// it. The answer to a HEAD request has no body.
     awaitable_result<response_head> read_head(base::milliseconds timeout, bool body_expected = true);
-    /// The next part of the body, empty at its end. Fails when the answer is cut off.
+    /// The next part of the body, empty at its end. Fails when the answer is cut off. Bytes that arrived before the
+    /// time limit are read even if it has passed.
     awaitable_result<std::string> read_body(base::milliseconds timeout);
     /// Reads the rest of a body of at most the given size.
     awaitable_result<std::string> read_whole_body(std::size_t maximum_bytes, base::milliseconds timeout);
@@ -50,14 +52,21 @@
 private:
     using parser = beast_http::response_parser<beast_http::buffer_body>;
 
-    void limit_read(base::milliseconds timeout);
+    /// Sets the time limit of the next reads and returns it.
+    base::time_point limit_reads(base::milliseconds timeout);
+    base::error fail_read(boost::system::error_code code);
+    /// Gives back the memory that only the answer needed, because the connection may be kept.
+    void finish_answer();
 
     boost::beast::tcp_stream stream_;
     boost::asio::ip::tcp::endpoint endpoint_;
     boost::beast::flat_buffer buffer_;
+    /// Of the answer that is being read.
     std::optional<parser> parser_;
     std::uint64_t requests_{0};
     bool open_{false};
+    /// Whether an answer was read to its end and allows another request.
+    bool kept_alive_{false};
     bool sending_{false};
     bool failed_{false};
     bool ending_{false};
