Bound the received bytes of a connection to a server and free them when the connection is kept

A server that sends a chunk extension or a trailer without end filled the entry's memory: the parser needs the whole line, and the buffer had no limit. Each kept connection also held a buffer as large as the largest head that it had carried, and that head.

The buffer has the limit of a head, and is freed with the parsed answer once the answer was read to its end.

Failed before: fast 'chunk extension ended 0' and 'trailer ended 0' (still reading after 3 s); kept connections: 'Expected less or equal than: 4096, Actual: 32768'.

--- a/Libraries/http/upstream_connection.cpp
+++ b/Libraries/http/upstream_connection.cpp
@@ -21,7 +21,10 @@
 constexpr std::size_t read_part_bytes = 4UL * 1024;
 // Bytes of the head with all interim answers before it.
 constexpr std::size_t longest_answer_head = 32UL * 1024;
+// Bytes that are received and not yet parsed, such as an incomplete head, chunk extension or trailer.
+constexpr std::size_t maximum_unparsed_bytes = longest_answer_head;
 constexpr unsigned lowest_final_status = 200;
+constexpr std::size_t maximum_kept_buffer = 4UL * 1024;
 // Unacknowledged bytes mark the connection as dead after this time.
 constexpr int unacknowledged_limit_ms = 4000;
 
@@ -42,7 +45,8 @@
 
 upstream_connection::upstream_connection(asio::any_io_executor executor, asio::ip::tcp::endpoint endpoint)
     : stream_(std::move(executor))
-    , endpoint_(std::move(endpoint)) {}
+    , endpoint_(std::move(endpoint))
+    , buffer_(maximum_unparsed_bytes) {}
 
 awaitable_result<void> upstream_connection::connect(base::milliseconds timeout) {
     stream_.expires_after(timeout);
@@ -90,6 +94,8 @@
 void upstream_connection::finish_answer() {
     kept_alive_ = parser_->keep_alive();
     parser_.reset();
+    if (buffer_.size() == 0 && buffer_.capacity() > maximum_kept_buffer)
+        buffer_.shrink_to_fit();
 }
 
 awaitable_result<response_head> upstream_connection::read_head(base::milliseconds timeout, bool body_expected) {
--- a/Libraries/http/upstream_connection.h
+++ b/Libraries/http/upstream_connection.h
@@ -47,6 +47,8 @@
     /// The connection carries no other request.
     void end_after_answer() { ending_ = true; }
     void close();
+    /// Memory held for received bytes.
+    std::size_t buffer_bytes() const { return buffer_.capacity(); }
     boost::asio::ip::tcp::endpoint const& endpoint() const { return endpoint_; }
 
 private:
--- a/Tests/http/endless_answers_test.cpp
+++ b/Tests/http/endless_answers_test.cpp
@@ -103,6 +103,8 @@
     {"blank lines", "", "\r\n"},
     {"body without length", success + "\r\n", "x"},
     {"chunks", chunked, "1\r\nx\r\n"},
+    {"chunk extension", chunked + "1;", "x"},
+    {"trailer", chunked + "0\r\n", "X: y\r\n"},
 };
 
 } // namespace
--- a/Tests/http/upstream_connection_test.cpp
+++ b/Tests/http/upstream_connection_test.cpp
@@ -52,6 +52,7 @@
 class upstream_connection_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(upstream_connection_test);
     CPPUNIT_TEST(answers_that_break_off_are_not_complete);
+    CPPUNIT_TEST(kept_connections_hold_no_memory_of_large_answers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -84,6 +85,24 @@
             CPPUNIT_ASSERT_EQUAL(tested.complete, complete);
         });
     }
+
+    // Guards against kept connections that hold a buffer of the size of their largest head, for each target.
+    void kept_connections_hold_no_memory_of_large_answers() {
+        constexpr std::size_t large_head = 30000;
+        constexpr std::size_t most_kept = 4096;
+        asio::io_context context;
+        tcp::acceptor acceptor{context, {asio::ip::address_v4::loopback(), 0}};
+        http::upstream_pointer const connection{
+            new http::upstream_connection{context.get_executor(), acceptor.local_endpoint()}};
+        bool complete = false;
+        auto const answer =
+            "HTTP/1.1 200 OK\r\nX-Text: " + std::string(large_head, 'x') + "\r\nContent-Length: 4\r\n\r\nbody";
+        asio::co_spawn(context, send_answer(acceptor, answer, ending::close), asio::detached);
+        asio::co_spawn(context, read_answer(connection, complete), asio::detached);
+        context.run_for(2s);
+        CPPUNIT_ASSERT(complete);
+        CPPUNIT_ASSERT_LESSEQUAL(most_kept, connection->buffer_bytes());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(upstream_connection_test);
