Count comments and blank lines of a stream as no events

An engine that sends comments or blank lines without end seemed to make progress: each blank line ended an event, so the caller's stream was neither ended nor resumed elsewhere, and the comments were passed on without a limit.

A block without a field belongs to the event that follows it, and the limit of an event bounds it.

--- a/Libraries/forwarding/event_splitter.cpp
+++ b/Libraries/forwarding/event_splitter.cpp
@@ -1,11 +1,14 @@
 #include "forwarding/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace cyclamenledge::forwarding {
 
 namespace {
 
+constexpr std::size_t maximum_kept_buffer = 4UL * 1024;
+
 std::optional<std::uint64_t> id_of(std::string_view event) {
     constexpr std::string_view field = "id:";
     while (!event.empty()) {
@@ -28,6 +31,18 @@
     return std::nullopt;
 }
 
+/// Whether the text has a line other than comments and blank lines.
+bool has_field(std::string_view block) {
+    while (!block.empty()) {
+        if (block.front() != ':' && block.front() != '\n' && block.front() != '\r')
+            return true;
+        block.remove_prefix(std::min(block.size(), block.find('\n')));
+        if (!block.empty())
+            block.remove_prefix(1);
+    }
+    return false;
+}
+
 /// Returns the length of the blank line that ends an event at the given offset, or zero.
 std::size_t blank_line_at(std::string_view text, std::size_t offset) {
     if (text.compare(offset, 2, "\n\n") == 0)
@@ -43,7 +58,10 @@
     if (consumed_ > 0) {
         buffer_.erase(0, consumed_);
         scanned_ -= consumed_;
+        block_ -= consumed_;
         consumed_ = 0;
+        if (buffer_.empty() && buffer_.capacity() > maximum_kept_buffer)
+            buffer_.shrink_to_fit();
     }
     buffer_.append(bytes);
 }
@@ -54,15 +72,25 @@
         auto const blank = blank_line_at(text, scanned_);
         if (blank == 0)
             continue;
-        auto const bytes = text.substr(consumed_, scanned_ + blank - consumed_);
+        auto const block = text.substr(block_, scanned_ - block_);
         scanned_ += blank;
+        block_ = scanned_;
+        if (!has_field(block)) {
+            --scanned_;
+            continue;
+        }
+        auto const bytes = text.substr(consumed_, scanned_ - consumed_);
         consumed_ = scanned_;
         return stream_event{id_of(bytes), bytes};
     }
     // A blank line may begin in the last three bytes of the buffer and end in the bytes appended next.
     constexpr std::size_t longest_partial_blank_line = 3;
-    scanned_ = text.size() - std::min(text.size() - consumed_, longest_partial_blank_line);
+    scanned_ = text.size() - std::min(text.size() - block_, longest_partial_blank_line);
     return std::nullopt;
 }
 
+bool event_splitter::inside_event() const {
+    return has_field(std::string_view{buffer_}.substr(block_));
+}
+
 } // namespace cyclamenledge::forwarding
--- a/Libraries/forwarding/event_splitter.h
+++ b/Libraries/forwarding/event_splitter.h
@@ -14,7 +14,7 @@
 };
 
 /// Splits a text/event-stream body into complete events. Bytes of an incomplete event are buffered until its end
-/// arrives.
+/// arrives. Comments and blank lines alone are no event and belong to the event that follows them.
 class event_splitter {
 public:
     /// Maximum size of an event in bytes. A larger event marks the stream as malformed.
@@ -24,12 +24,18 @@
     /// Returns the next complete event. Its bytes are valid until the next call of append.
     std::optional<stream_event> next();
     /// Whether the buffer ends with an incomplete event.
-    bool inside_event() const { return consumed_ < buffer_.size(); }
+    bool inside_event() const;
     bool malformed() const { return buffer_.size() - consumed_ > longest_event; }
+    /// Bytes that belong to no complete event. Valid until the next call of append.
+    std::string_view unfinished() const { return std::string_view{buffer_}.substr(consumed_); }
+    /// Memory held in bytes.
+    std::size_t memory() const { return buffer_.capacity(); }
 
 private:
     std::string buffer_;
     std::size_t consumed_{0};
+    /// Where the text after the last blank line begins.
+    std::size_t block_{0};
     std::size_t scanned_{0};
 };
 
