Bound the unparsed bytes of single exchanges and of line streams

An engine or the configuration service that sends a chunk extension or a trailer without end filled the buffer of the product's own clients, as it did on connections to targets. The buffer has a limit of 64 KiB. No test of its own.

--- a/Libraries/http/client.cpp
+++ b/Libraries/http/client.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+// Received and not yet parsed, such as an incomplete chunk extension.
+constexpr std::size_t maximum_unparsed_bytes = 64UL * 1024;
 
 client_error make_client_error(request_progress progress, beast::error_code const& code) {
     return {progress, base::make_error(base::error_kind::io_failed, code.message())};
@@ -53,7 +55,7 @@
     auto [write_code, written] = co_await beast_http::async_write(stream, message, use_tuple);
     if (write_code)
         co_return make_client_error(request_progress::sent, write_code);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{maximum_unparsed_bytes};
     beast_http::response_parser<beast_http::string_body> parser;
     parser.body_limit(maximum_body_bytes);
     parser.skip(message.method() == beast_http::verb::head);
--- a/Libraries/http/line_stream.cpp
+++ b/Libraries/http/line_stream.cpp
@@ -19,6 +19,8 @@
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_chunk_bytes = 8192;
 constexpr std::size_t maximum_line_bytes = 64UL * 1024;
+// Received and not yet parsed, such as an incomplete chunk extension.
+constexpr std::size_t maximum_unparsed_bytes = 64UL * 1024;
 
 client_error make_client_error(request_progress progress, beast::error_code const& code) {
     return {progress, base::make_error(base::error_kind::io_failed, code.message())};
@@ -27,7 +29,8 @@
 } // namespace
 
 line_stream::line_stream(asio::any_io_executor executor)
-    : stream_(std::move(executor)) {
+    : stream_(std::move(executor))
+    , buffer_(maximum_unparsed_bytes) {
     parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
 }
 
