--- a/Development/soak/caller.cpp
+++ b/Development/soak/caller.cpp
@@ -120,11 +120,14 @@
     ledger_.begin_call(made.request, may_run_again(definition), definition.service);
     auto const began = base::clock::now();
     auto const& process = world_.entries()[made.entry]->process;
+    ledger_.notices().assign_entry(made.request, process.name, began);
     auto const request = made.request;
     auto const entry = made.entry;
     auto const life = process.life;
     auto const end = co_await perform(std::move(made));
     ledger_.end_call(request, end);
+    if (end != call_end::broken)
+        ledger_.notices().on_answer(request, base::clock::now());
     // Calls that a planned stop meets are served or refused, not lost.
     bool const one_life = process.life == life && ledger_.calm_since(began - calm_before);
     if (is_plain(definition) && end == call_end::broken && one_life && ledger_.find(request)->run_complete)
--- a/Development/soak/fault_plan.cpp
+++ b/Development/soak/fault_plan.cpp
@@ -52,7 +52,7 @@
     , began_(base::clock::now()) {}
 
 std::span<fault_plan::action const> fault_plan::actions() {
-    static constexpr std::array<action, 15> table{{
+    static constexpr std::array<action, 17> table{{
         {"kill_entry", fault_reach::entries, &fault_plan::kill_entry},
         {"pause_entry", fault_reach::entries, &fault_plan::pause_entry},
         {"kill_agent", fault_reach::targets, &fault_plan::kill_agent},
@@ -68,6 +68,8 @@
         {"publish", {}, &fault_plan::publish},
         {"evacuate", {}, &fault_plan::evacuate},
         {"name_limit", {}, &fault_plan::name_limit},
+        {"say_leaving", {}, &fault_plan::say_leaving},
+        {"turn_away", {}, &fault_plan::turn_away},
     }};
     return table;
 }
@@ -224,6 +226,7 @@
     process.paused = true;
     process.process->send_signal(SIGSTOP);
     co_await pause(100, 3000);
+    ledger_.notices().forget_entry(process.name);
     process.process->send_signal(SIGCONT);
     process.paused = false;
 }
@@ -370,4 +373,27 @@
     world_.name_limit(site, {});
 }
 
+asio::awaitable<void> fault_plan::say_leaving() {
+    auto& site = any_target();
+    if (!site.target->up() || site.target->leaving() || site.target->says_leaving())
+        co_return;
+    auto const id = site.target->id();
+    site.target->say_leaving(true);
+    // The metadata store goes on listing it as ready.
+    co_await pause(2000, 6000);
+    if (!site.target->up() || site.target->id() != id)
+        co_return;
+    site.target->crash();
+    world_.withdraw(site);
+    co_await pause(100, 1000);
+    world_.restart(site);
+}
+
+asio::awaitable<void> fault_plan::turn_away() {
+    auto& site = any_target();
+    if (!site.target->up())
+        co_return;
+    site.target->turn_away({base::milliseconds{500 + random_.below(3500)}, random_.below(2) == 0});
+}
+
 } // namespace cyclamenledge::soak
--- a/Development/soak/fault_plan.h
+++ b/Development/soak/fault_plan.h
@@ -59,6 +59,8 @@
     boost::asio::awaitable<void> publish();
     boost::asio::awaitable<void> evacuate();
     boost::asio::awaitable<void> name_limit();
+    boost::asio::awaitable<void> say_leaving();
+    boost::asio::awaitable<void> turn_away();
 
     boost::asio::awaitable<void> pause(std::uint64_t least, std::uint64_t most);
     entry_site& any_entry();
--- a/Development/soak/fleet.cpp
+++ b/Development/soak/fleet.cpp
@@ -145,6 +145,7 @@
 void fleet::start_daemon(daemon& wanted) {
     wanted.process.reset();
     ++wanted.life;
+    ledger_.notices().forget_entry(wanted.name);
     wanted.ended_on_purpose = false;
     wanted.paused = false;
     wanted.stopping = false;
--- a/Development/soak/run_ledger.cpp
+++ b/Development/soak/run_ledger.cpp
@@ -175,6 +175,7 @@
                             std::optional<base::milliseconds> time_left) {
     auto const now = base::clock::now();
     check_limit(request, target.id(), now);
+    check_notices(request, target.id(), now);
     auto const call = calls_.find(request);
     if (call == calls_.end())
         return;
@@ -198,6 +199,21 @@
     }
 }
 
+void run_ledger::on_leaving_said(std::string const& request, platform::standin::target_standin const& target) {
+    notices_.on_leaving_said(request, target.id());
+}
+
+void run_ledger::on_turned_away(std::string const& request, platform::standin::target_standin const& target,
+                                base::time_point until) {
+    notices_.on_turned_away(request, target.id(), base::clock::now(), until);
+}
+
+void run_ledger::check_notices(std::string const& request, std::string const& target_id, base::time_point now) {
+    auto const calm_from = disturbances_ > 0 ? now : disturbed_until_;
+    if (auto broken = notices_.on_arrival(request, target_id, now, calm_from))
+        violation(std::move(*broken));
+}
+
 void run_ledger::check_retry_bound(std::string const& request, std::string const& service, base::time_point now) {
     auto& traffic = traffic_[service];
     auto const drop_before = [](auto& times, base::time_point first) {
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "soak/notice_ledger.h"
 #include "support/platform/target_standin.h"
 
 #include <algorithm>
@@ -122,6 +123,12 @@
     void on_request_crash(std::string const& request, platform::standin::target_standin const& target) override;
     void record_crash(std::string const& content, base::time_point at) { crashing_[content].crashes.push_back(at); }
 
+    void on_leaving_said(std::string const& request, platform::standin::target_standin const& target) override;
+    void on_turned_away(std::string const& request, platform::standin::target_standin const& target,
+                        base::time_point until) override;
+    /// What entries know of the notices that targets give in their answers.
+    notice_ledger& notices() { return notices_; }
+
     /// A fault that nobody planned is at work.
     void begin_disturbance(fault_reach reach = fault_reach::entries) { ++disturbances_[reach].open; }
     /// Its effects last until then.
@@ -206,6 +213,7 @@
     void check_attempts(std::string const& request, call_record& call, base::time_point now);
     void record_cut(std::string const& request, call_record const& call, base::time_point at);
     void check_crashing_run(call_record const& call, base::time_point now);
+    void check_notices(std::string const& request, std::string const& target_id, base::time_point now);
     void check_limit(std::string const& request, std::string const& target_id, base::time_point now);
     void check_retry_bound(std::string const& request, std::string const& service, base::time_point now);
 
@@ -223,6 +231,7 @@
     std::uint32_t beyond_attempts_{0};
     std::uint32_t handed_too_much_time_{0};
     std::uint32_t judged_time_left_{0};
+    notice_ledger notices_;
     std::vector<std::string> violations_;
 };
 
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -42,6 +42,11 @@
     virtual void on_end(target_standin const& /*target*/) {}
     /// The target crashed because it ran the request.
     virtual void on_request_crash(std::string const& /*request*/, target_standin const& /*target*/) {}
+    /// The target said in its answer to the request that it leaves.
+    virtual void on_leaving_said(std::string const& /*request*/, target_standin const& /*target*/) {}
+    /// The target refused the request, and wants nothing from the entry that sent it until then.
+    virtual void on_turned_away(std::string const& /*request*/, target_standin const& /*target*/,
+                                base::time_point /*until*/) {}
 };
 
 /// Shares of requests that go wrong at a target.
@@ -81,6 +86,13 @@
     bool in_refusals_only{false};
 };
 
+/// A target that turns every request away for a time, and says in its refusals how long that lasts.
+struct turn_away_time {
+    base::milliseconds length{};
+    /// Whether the refusals state that the request has not run.
+    bool states_not_run{true};
+};
+
 /// Targets by the address at which others call them.
 using target_directory = std::map<std::string, target_standin*>;
 
@@ -125,6 +137,13 @@
     void set_slow_calls(slow_calls const& slow) { slow_calls_ = slow; }
     void name_limit(std::optional<named_limit> const& limit) { named_limit_ = limit; }
     bool limited() const { return named_limit_.has_value(); }
+    /// Says in each answer that it leaves, whatever it announces in the metadata store.
+    void say_leaving(bool said) { says_leaving_ = said; }
+    bool says_leaving() const { return says_leaving_; }
+    void turn_away(turn_away_time const& time) {
+        turns_away_ = time;
+        turns_away_until_ = base::clock::now() + time.length;
+    }
 
     boost::asio::awaitable<void> handle(http::session_pointer client, http::request received) override;
 
@@ -139,6 +158,9 @@
     /// Answers a request that goes beyond a limit which only refusals name. Returns whether it did.
     boost::asio::awaitable<bool> refuse_beyond_limit(http::session_pointer client, std::string request);
     void add_named_limit(http::beast_http::response_header<>& head, bool refusal) const;
+    void add_leaving(http::beast_http::response_header<>& head, std::string const& request) const;
+    /// Answers a request in a time in which the target takes none. Returns whether it did.
+    boost::asio::awaitable<bool> refuse_for_a_time(http::session_pointer client, std::string request);
     /// Crashes the target if the request is one that crashes every target that runs it. Returns whether it did.
     boost::asio::awaitable<bool> crash_on(http::session_pointer client, http::request received);
     void end_incarnation(std::string const& request);
@@ -169,6 +191,9 @@
     target_faults faults_;
     slow_calls slow_calls_;
     std::optional<named_limit> named_limit_;
+    bool says_leaving_{false};
+    turn_away_time turns_away_;
+    base::time_point turns_away_until_{};
     /// When requests were accepted in the last second.
     std::deque<base::time_point> accepted_;
     crash_handler on_crash_;
--- a/Tests/support/platform_process/platform_world.cpp
+++ b/Tests/support/platform_process/platform_world.cpp
@@ -49,6 +49,8 @@
     act([&] {
         ledger_.begin_call(request.id, request.may_run_again,
                            request.prompt_tokens > 0 ? soak::engine_service : soak::plain_service);
+        ledger_.notices().assign_entry(request.id, fleet_->entries().at(request.entry)->process.name,
+                                       base::clock::now());
     });
     auto const message =
         platform::standin::encode_call({request.id, soak::caller_host, request.path, soak::caller_key,
@@ -61,7 +63,10 @@
         if (field.name() != boost::beast::http::field::content_length)
             sent.headers.emplace_back(field.name_string(), field.value());
     }
-    return process::call(fleet_->entries().at(request.entry)->caller_address, sent);
+    auto answer = process::call(fleet_->entries().at(request.entry)->caller_address, sent);
+    if (answer.status != 0)
+        act([&] { ledger_.notices().on_answer(request.id, base::clock::now()); });
+    return answer;
 }
 
 std::string platform_world::trace(std::string const& request) {
