Obey targets that say in answers that they leave or want nothing for a time

Targets that said in their answers that they leave, while the store listed them as ready, went on getting requests; so did targets that had turned an entry away and said for how long. No entry read either notice, and mark_leaving was undone by the next listing of the same target.

Both are decoded once, with the rest of an answer's head, and applied from every head on the target's connection: of calls, streams, refusals, copies of memory and late answers. Leaving is kept by incarnation beside the listed record, so that no listing undoes it; streams move and queued requests are placed elsewhere. A hold-off is kept by entry and incarnation and is checked in choosing, in choosing copy destinations, and just before sending. At most two calls copy memory off such an engine. Its refusal is no failure of the target. When all targets with room are held off, a request waits for the first end if that is in time, or is refused with the time of that end, callers refused earlier being told earlier times. A target's own Retry-After is no longer forwarded.

Both notices come in one commit because they share the decoding and the handler.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -32,6 +32,8 @@
 // Share of a cold target's request rate that entries use. A second can hold the permits of another half.
 constexpr double cold_share = 0.8;
 
+constexpr std::string_view hold_off_reason = "target_hold_off";
+
 // Part of a bounded rate that all entries together use while the agent that issues its permits does not answer them.
 // With the permits that it still issues to others, it stays within one and a half times the rate.
 constexpr double unissued_rate_share = 0.5;
@@ -48,8 +50,7 @@
 
 bool target_view::leaving(base::time_point now) const {
     // A target whose removal is not confirmed is used as long as it answers.
-    return (removed && !removal_unconfirmed(now)) || record.state == target_state::leaving ||
-           (report && report->leaving);
+    return (removed && !removal_unconfirmed(now)) || said_leaving() || (report && report->leaving);
 }
 
 fleet_view::fleet_view(std::string failure_domain, std::map<std::string, std::string> regions, std::uint64_t seed)
@@ -116,9 +117,58 @@
     });
 }
 
-void fleet_view::mark_leaving(std::string const& id) {
-    if (auto const found = targets_.find(id); found != targets_.end())
-        found->second.record.state = target_state::leaving;
+bool fleet_view::mark_leaving(std::string const& id, base::time_point now) {
+    auto const found = targets_.find(id);
+    if (found == targets_.end())
+        return false;
+    bool const known = found->second.leaving(now);
+    found->second.shown_leaving = true;
+    return !known;
+}
+
+bool fleet_view::hold_off(std::string const& id, base::milliseconds length, base::time_point now) {
+    auto const found = targets_.find(id);
+    return found != targets_.end() && found->second.hold_off.on_answer(length, now);
+}
+
+bool fleet_view::held_off(std::string const& id, base::time_point now) const {
+    auto const* target = find(id);
+    return target != nullptr && target->hold_off.active(now);
+}
+
+bool fleet_view::may_copy_from(std::string const& id, base::time_point now) const {
+    auto const* target = find(id);
+    return target == nullptr || target->hold_off.may_copy(now);
+}
+
+bool fleet_view::take_copy_call(std::string const& id, base::time_point now) {
+    auto const found = targets_.find(id);
+    return found == targets_.end() || found->second.hold_off.take_copy_call(now);
+}
+
+void fleet_view::add_held(held_targets& found, target_view const& target, base::time_point now) const {
+    ++found.count;
+    found.first_end = std::min(found.first_end, target.hold_off.end());
+    auto const* engine = capacity(target);
+    auto const slots = engine != nullptr ? engine->slots : target.record.slots;
+    // Each entry expects to use its part of the slots once a second.
+    found.per_second += static_cast<double>(std::max(1U, slots)) / count_entries(now).value_or(1);
+}
+
+std::optional<placement> fleet_view::find_hold_off(placement_request request, base::time_point now) const {
+    request.excluded = {};
+    held_targets held;
+    for (auto const& [id, target] : targets_) {
+        if (!eligible(target, request, now))
+            continue;
+        if (!target.hold_off.active(now))
+            return std::nullopt;
+        add_held(held, target, now);
+    }
+    if (!held.any())
+        return std::nullopt;
+    return placement{
+        placement_kind::exhausted, {}, hold_off_reason, {}, held.first_end, held.per_second, held.first_end};
 }
 
 engine_capacity const* fleet_view::capacity(target_view const& target) const {
@@ -250,10 +300,21 @@
 }
 
 placement fleet_view::conclude_without_room(placement_request const& request, permitless_targets const& permitless,
-                                            bool room_may_come, base::time_point now) {
-    placement made{placement_kind::wait, {}, "no_room", {}, permitless.available_at, permitless.permits_per_second};
-    if (!permitless.any)
+                                            held_targets const& held, bool room_may_come, base::time_point now) {
+    placement made{placement_kind::wait, {}, "no_room", {}, permitless.available_at, permitless.permits_per_second, {}};
+    if (held.any()) {
+        made.available_at = std::min(made.available_at, held.first_end);
+        made.permits_per_second += held.per_second;
+    }
+    if (!permitless.any) {
+        if (!held.any() || room_may_come)
+            return made;
+        made.reason = hold_off_reason;
+        made.held_until = held.first_end;
+        if (held.first_end > request.wait_until)
+            made.kind = placement_kind::exhausted;
         return made;
+    }
     made.reason = "target_limit";
     if (permitless.best.target != nullptr)
         made.permit_wanted = permitless.best.target->record.id;
@@ -261,7 +322,9 @@
     auto const left = base::to_seconds(request.wait_until - now);
     bool const in_time = permitless.available_at <= request.wait_until &&
                          static_cast<double>(1 + request.waiting) <= left * permitless.permits_per_second;
-    bool const may_wait = permitless.best.target != nullptr || permitless.permit_expected || room_may_come || in_time;
+    bool const hold_off_ends_in_time = held.any() && held.first_end <= request.wait_until;
+    bool const may_wait = permitless.best.target != nullptr || permitless.permit_expected || room_may_come || in_time ||
+                          hold_off_ends_in_time;
     if (!may_wait)
         made.kind = placement_kind::exhausted;
     return made;
@@ -272,12 +335,17 @@
     std::vector<candidate> ejected;
     std::vector<candidate> overcommitted;
     permitless_targets permitless;
+    held_targets held;
     bool any_eligible = false;
     bool any_cold = false;
     for (auto& [id, target] : targets_) {
         if (!eligible(target, request, now))
             continue;
         any_eligible = true;
+        if (target.hold_off.active(now)) {
+            add_held(held, target, now);
+            continue;
+        }
         double const score = load(target, request.size, now) + distance(target) + target.health.failure_share() +
                              score_jitter * random_.unit();
         bool const room = !request.size || has_room(target, *request.size, now);
@@ -310,8 +378,9 @@
     if (!overcommitted.empty() && request.accept_overcommit)
         return place_at_best(overcommitted, "crowded");
     if (any_eligible)
-        return conclude_without_room(request, permitless, !overcommitted.empty() || any_cold, now);
-    return {placement_kind::none, {}, "no_target"};
+        return conclude_without_room(request, permitless, held, !overcommitted.empty() || any_cold, now);
+    // The targets that the request has tried may all want nothing now.
+    return find_hold_off(request, now).value_or(placement{placement_kind::none, {}, "no_target"});
 }
 
 placement fleet_view::choose_copy_holder(copy_request const& copy, base::time_point now) {
@@ -322,8 +391,8 @@
         bool const permitted = permits_request(target, now);
         // Beyond its rate, a cold engine crashes.
         bool const too_cold = !permitted && now < target.cold_until;
-        if (id == copy.source || !eligible(target, copy.request, now) || target.health.ejected(now) || too_cold ||
-            !has_room_for_copy(target, copy.tokens, copy.room_share, now))
+        if (id == copy.source || !eligible(target, copy.request, now) || target.hold_off.active(now) ||
+            target.health.ejected(now) || too_cold || !has_room_for_copy(target, copy.tokens, copy.room_share, now))
             continue;
         auto const span = source == nullptr ? copy_span::other_region : span_between(*source, target);
         if (span > copy.widest)
@@ -447,13 +516,16 @@
 
 bool fleet_view::may_receive(std::string const& id, base::time_point now) const {
     auto const* target = find(id);
-    return target != nullptr && !target->leaving(now) && !evacuated(target->record.failure_domain);
+    return target != nullptr && !target->leaving(now) && !target->hold_off.active(now) &&
+           !evacuated(target->record.failure_domain);
 }
 
 void fleet_view::expire(base::time_point now) {
     std::erase_if(targets_, [&](auto const& entry) {
         auto const& target = entry.second;
-        return target.removed && target.open_requests == 0 && now - target.removed_at > removed_lifetime;
+        auto const lifetime = target.shown_leaving ? shown_leaving_lifetime : removed_lifetime;
+        return target.removed && target.open_requests == 0 && !target.hold_off.active(now) &&
+               now - target.removed_at > lifetime;
     });
 }
 
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -10,6 +10,7 @@
 #include "forwarding/permit_stock.h"
 #include "forwarding/route_set.h"
 #include "forwarding/target_health.h"
+#include "forwarding/target_hold_off.h"
 #include "forwarding/target_limit.h"
 #include "forwarding/target_record.h"
 
@@ -61,7 +62,8 @@
     placed,
     /// Eligible targets exist, but none has room now.
     wait,
-    /// Every eligible target with room has a bounded rate, and there is no permit for any of them soon.
+    /// Every eligible target with room has a bounded rate or wants nothing for a time, and none can take the request
+    /// soon.
     exhausted,
     /// No target is eligible for the request.
     none,
@@ -74,15 +76,21 @@
     std::string_view reason;
     /// Target with a bounded rate for which a permit should be requested, because it would have been chosen with one.
     std::string permit_wanted{};
-    /// If exhausted: when the first permit is expected, and the permits per second that this entry may expect.
+    /// If exhausted: when the first permit is expected or the first hold-off ends, and the requests a second that this
+    /// entry may expect to send then.
     base::time_point available_at{};
     double permits_per_second{0};
+    /// Until then, every target that may run the request wants nothing.
+    base::time_point held_until{};
 };
 
 /// State of a target in the view of this process.
 struct target_view {
     target_record record;
     std::string region;
+    /// The target has shown that it leaves, for example in an answer. It stays so, whatever is listed of this
+    /// incarnation.
+    bool shown_leaving{false};
     bool removed{false};
     /// The removal is not confirmed: the metadata store was unreachable when the target disappeared from its listing,
     /// so the target may reappear soon.
@@ -104,11 +112,14 @@
     std::deque<reservation> reservations;
     target_health health;
     target_limit limit;
+    target_hold_off hold_off;
     /// Used while the target has a bounded rate.
     permit_stock permits;
 
     /// Whether the target was removed while the metadata store was unreachable and may still reappear.
     bool removal_unconfirmed(base::time_point now) const;
+    /// Whether the target has announced or shown that it is about to stop.
+    bool said_leaving() const { return shown_leaving || record.state == target_state::leaving; }
     /// Whether the target accepts no new requests because it was removed or is about to stop.
     bool leaving(base::time_point now) const;
 };
@@ -127,6 +138,8 @@
     static constexpr base::milliseconds unconfirmed_removal_lifetime{2200};
     /// How long a removed target is kept for the requests that still run there.
     static constexpr base::seconds removed_lifetime{30};
+    /// How long a removed target is kept that had shown that it leaves. A late listing of it must not make it usable.
+    static constexpr base::seconds shown_leaving_lifetime{600};
 
     fleet_view(std::string failure_domain, std::map<std::string, std::string> regions, std::uint64_t seed);
 
@@ -137,8 +150,19 @@
     void update_report(std::string const& address, engine_report const& report, base::time_point now);
     /// Whether the last report of the agent marks the target at the address as leaving.
     bool reported_leaving(std::string const& address) const;
-    /// Marks the target as leaving on other evidence than a report, such as a response of the target.
-    void mark_leaving(std::string const& id);
+    /// Marks this incarnation of the target as leaving on other evidence than a report, such as a response of the
+    /// target. Returns whether it was not known to be leaving.
+    bool mark_leaving(std::string const& id, base::time_point now);
+    /// The target wants nothing from this process for the time. Returns whether the end of its hold-off has changed.
+    bool hold_off(std::string const& id, base::milliseconds length, base::time_point now);
+    bool held_off(std::string const& id, base::time_point now) const;
+    /// Whether memory may be copied off the target.
+    bool may_copy_from(std::string const& id, base::time_point now) const;
+    /// Counts a call that copies memory off the target. Returns whether it may be made.
+    bool take_copy_call(std::string const& id, base::time_point now);
+    /// When the first target that may run the request ends its hold-off and how many requests a second this entry may
+    /// expect to send then. Targets that the request excludes count. No value while one takes requests.
+    std::optional<placement> find_hold_off(placement_request request, base::time_point now) const;
 
     /// Chooses the eligible target with the lowest load for a request.
     placement choose(placement_request const& request, base::time_point now);
@@ -206,6 +230,15 @@
         double permits_per_second{0};
     };
 
+    /// Targets that a request could use if they did not want nothing for a time.
+    struct held_targets {
+        std::size_t count{0};
+        base::time_point first_end{base::time_point::max()};
+        double per_second{0};
+
+        bool any() const { return count > 0; }
+    };
+    void add_held(held_targets& found, target_view const& target, base::time_point now) const;
     bool eligible(target_view const& target, placement_request const& request, base::time_point now) const;
     bool has_room(target_view const& target, generation_size const& size, base::time_point now) const;
     bool has_room_for_copy(target_view const& target, std::uint32_t tokens, double room_share,
@@ -220,7 +253,7 @@
     std::optional<double> cold_rate(target_view const& target, base::time_point now) const;
     void add_permitless(permitless_targets& found, candidate const& item, base::time_point now) const;
     static placement conclude_without_room(placement_request const& request, permitless_targets const& permitless,
-                                           bool room_may_come, base::time_point now);
+                                           held_targets const& held, bool room_may_come, base::time_point now);
     double distance(target_view const& target) const;
     double load(target_view const& target, std::optional<generation_size> const& size, base::time_point now) const;
     engine_capacity const* capacity(target_view const& target) const;
--- a/Libraries/forwarding/return_schedule.h
+++ b/Libraries/forwarding/return_schedule.h
@@ -8,11 +8,13 @@
 /// have permits for them, so that they do not find the same permit gone.
 class return_schedule {
 public:
-    /// Later times are not told: by then another target may have room.
+    /// Later times are not told, counted from when the first target takes requests: by then another may have room.
     static constexpr base::seconds latest_return{5};
 
-    /// Returns the time until the caller should return. `available_at` is when the first permit is expected.
-    base::milliseconds next(base::time_point available_at, double per_second, base::time_point now);
+    /// Returns the time until the caller should return. `available_at` is when the first permit is expected. Until
+    /// `held_until`, no target takes requests.
+    base::milliseconds next(base::time_point available_at, double per_second, base::time_point now,
+                            base::time_point held_until = {});
 
 private:
     base::time_point last_{};
--- a/Libraries/forwarding_entry/answer_reader.cpp
+++ b/Libraries/forwarding_entry/answer_reader.cpp
@@ -18,6 +18,9 @@
     for (int mismatched = 0; mismatched <= maximum_mismatched_answers; ++mismatched) {
         BOOST_OUTCOME_CO_TRY(auto head, co_await connection->read_head(expected.time_left(), expected.has_body));
         auto const facts = platform::decode_answer(head);
+        // Another target at the address does not speak for the one that was asked.
+        if (expected.on_notices && !facts.other_target)
+            expected.on_notices(facts.notices);
         // An answer that names no request can only be attributed on a connection that carried no other one.
         bool const unnamed_but_own = facts.request_id.empty() && connection->carries_first_request();
         if (unnamed_but_own || facts.request_id == expected.request)
--- a/Libraries/forwarding_entry/answer_reader.h
+++ b/Libraries/forwarding_entry/answer_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/target_notices.h"
 #include "http/upstream_connection.h"
 
 #include <cstddef>
@@ -16,6 +17,8 @@
     /// Upper bound of the bodies of all mismatched answers, which are read and dropped.
     std::size_t maximum_bytes{0};
     std::function<base::milliseconds()> time_left;
+    /// Gets the notices in each answer of the target, also in late answers to earlier requests.
+    forwarding::notices_handler on_notices{};
 };
 
 /// Reads the head of the answer to a request. Late answers to earlier requests are read and dropped; a connection that
--- a/Libraries/forwarding_entry/entry_parts.h
+++ b/Libraries/forwarding_entry/entry_parts.h
@@ -7,6 +7,7 @@
 #include "forwarding_entry/placement_controller.h"
 #include "forwarding_entry/stream_registry.h"
 #include "forwarding_entry/target_connections.h"
+#include "forwarding_entry/target_notice_controller.h"
 #include "metrics/registry.h"
 
 #include <boost/asio/io_context.hpp>
@@ -23,6 +24,7 @@
     blackboard& board;
     placement_controller& placements;
     permit_controller& permits;
+    target_notice_controller& notices;
     target_connections& connections;
     /// Memory for the unfinished answers of all targets.
     base::byte_budget& answer_memory;
--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -67,6 +67,7 @@
     , agent_directory_(daemon.hub())
     , reservations_(daemon.context(), daemon.hub(), agent_directory_)
     , permits_(daemon.context(), daemon.hub(), board_, agent_directory_, daemon.metrics())
+    , notices_(daemon.context(), board_)
     , placements_(daemon.context(), board_, reservations_, permits_)
     , connections_(daemon.context().get_executor())
     , copy_slots_(daemon.context(), daemon.hub(), agent_directory_)
@@ -74,8 +75,8 @@
     , crashes_(daemon.context(), board_, suspects_)
     , agents_(daemon.hub(), board_, agent_directory_,
               static_cast<std::uint16_t>(daemon.settings().forwarding.agent_port))
-    , parts_{daemon.context(), board_,   placements_, permits_, connections_,     answer_memory_, copy_slots_,
-             reservations_,    streams_, suspects_,   crashes_, daemon.metrics(), random_}
+    , parts_{daemon.context(), board_,        placements_, permits_,  notices_, connections_,     answer_memory_,
+             copy_slots_,      reservations_, streams_,    suspects_, crashes_, daemon.metrics(), random_}
     , forwarder_(daemon, parts_, [this] { return store_.is_current(base::clock::now()); })
     , operators_(daemon, *this)
     , readiness_(daemon, *this)
@@ -86,6 +87,10 @@
     store_.set_relays(peers_.relays());
     publications_.set_observer([this] { on_targets_change(); });
     permits_.set_observer([this] { placements_.on_capacity_change(); });
+    notices_.set_observer([this] {
+        placements_.on_capacity_change();
+        streams_.on_fleet_change();
+    });
     agents_.set_observer([this] {
         placements_.on_capacity_change();
         streams_.on_fleet_change();
@@ -166,6 +171,8 @@
                                  {"open_requests", target.open_requests}};
         if (auto const& limit = target.limit.per_second())
             item["limit_per_second"] = *limit;
+        if (target.hold_off.active(now))
+            item["hold_off_seconds"] = base::to_seconds(target.hold_off.end() - now);
         if (target.report) {
             item["used_tokens"] = target.report->used_tokens;
             item["running"] = target.report->running;
@@ -188,6 +195,7 @@
             continue;
         targets.push_back(boost::json::object{{"id", id},
                                               {"leaving", target.leaving(now)},
+                                              {"held_off", target.hold_off.active(now)},
                                               {"evacuated", board_.fleet.evacuated(target.record.failure_domain)},
                                               {"ejected", target.health.ejected(now)},
                                               {"failure_share", target.health.failure_share()},
--- a/Libraries/forwarding_entry/forwarding_entry_role.h
+++ b/Libraries/forwarding_entry/forwarding_entry_role.h
@@ -16,6 +16,7 @@
 #include "forwarding_entry/store_controller.h"
 #include "forwarding_entry/stream_registry.h"
 #include "forwarding_entry/target_connections.h"
+#include "forwarding_entry/target_notice_controller.h"
 #include "http/server.h"
 #include "process/operator_handler.h"
 #include "process/role.h"
@@ -57,6 +58,7 @@
     agent_directory agent_directory_;
     reservation_client reservations_;
     permit_controller permits_;
+    target_notice_controller notices_;
     placement_controller placements_;
     target_connections connections_;
     base::byte_budget answer_memory_{answer_memory_bytes};
--- a/Libraries/forwarding_entry/placement_controller.cpp
+++ b/Libraries/forwarding_entry/placement_controller.cpp
@@ -47,9 +47,19 @@
 base::error placement_controller::refuse(placement_need const& need, forwarding::placement const& chosen) {
     if (chosen.kind != forwarding::placement_kind::exhausted)
         return refuse(need, chosen.reason);
-    auto const now = base::clock::now();
-    auto& schedule = return_schedules_[std::string{need.request.service}];
-    return refuse(need, chosen.reason, schedule.next(chosen.available_at, chosen.permits_per_second, now));
+    return refuse(need, chosen.reason, next_return(need.request, chosen));
+}
+
+base::milliseconds placement_controller::next_return(forwarding::placement_request const& request,
+                                                     forwarding::placement const& exhausted) {
+    auto& schedule = return_schedules_[std::string{request.service}];
+    return schedule.next(exhausted.available_at, exhausted.permits_per_second, base::clock::now(),
+                         exhausted.held_until);
+}
+
+base::milliseconds placement_controller::return_time(forwarding::placement_request const& request) {
+    auto const held = board_.fleet.find_hold_off(request, base::clock::now());
+    return held ? next_return(request, *held) : default_retry_after;
 }
 
 forwarding::placement placement_controller::choose_and_request_permit(placement_need const& need,
--- a/Libraries/forwarding_entry/placement_controller.h
+++ b/Libraries/forwarding_entry/placement_controller.h
@@ -37,6 +37,9 @@
     /// The same for a request that was not sent to the target.
     void withdraw(std::string const& target, std::string const& request);
 
+    /// Time until a caller should return whose request the last target has refused.
+    base::milliseconds return_time(forwarding::placement_request const& request);
+
     /// Updates the target's health with the outcome of a request.
     void record_outcome(std::string const& target, forwarding::target_outcome outcome);
 
@@ -75,6 +78,9 @@
                        base::milliseconds retry_after = default_retry_after) const;
     /// Refuses a request for which no target is eligible, or no permit will be available soon enough.
     base::error refuse(placement_need const& need, forwarding::placement const& chosen);
+    /// Time until the next refused caller should return.
+    base::milliseconds next_return(forwarding::placement_request const& request,
+                                   forwarding::placement const& exhausted);
     void end_reservation(std::string const& target, std::string const& request);
 
     boost::asio::io_context& context_;
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -32,8 +32,6 @@
 constexpr std::string_view replaced_reason = "slow";
 constexpr base::milliseconds successor_retry_interval{250};
 constexpr base::milliseconds minimum_attempt_time{60};
-// Retry-After when no target accepted the request.
-constexpr base::milliseconds retry_delay{500};
 // Time reserved at the end of the objective and of the deadline for running a request that was queued.
 constexpr base::milliseconds run_time_reserve{60};
 
@@ -204,7 +202,7 @@
                                                        {"status", last.answer->result_int()},
                                                        {"targets", tried_targets_.size()}});
         if (last.outcome == send_outcome::not_run)
-            set_return_time(*last.answer, retry_delay);
+            set_return_time(*last.answer, parts_.placements.return_time(request_.placement()));
         return std::move(*last.answer);
     }
     if (!caller_left_)
@@ -215,8 +213,8 @@
     if (conclusion == forwarding::final_answer::refuse && crashes_targets_)
         return make_error_answer(make_poison_refusal(parts_.suspects.time_to_expiry(request_.fingerprint)));
     if (conclusion == forwarding::final_answer::refuse)
-        return make_error_answer(
-            base::make_error(base::error_kind::overloaded, "no target took the request", retry_delay));
+        return make_error_answer(base::make_error(base::error_kind::overloaded, "no target took the request",
+                                                  parts_.placements.return_time(request_.placement())));
     auto const kind =
         base::clock::now() >= request_.deadline ? base::error_kind::deadline_exceeded : base::error_kind::link_lost;
     return make_error_answer(base::make_error(kind, "no answer from the target: " + last.reason));
@@ -243,7 +241,9 @@
     bool const still_allowed = parts_.board.fleet.may_receive(target, base::clock::now());
     if (caller_left_ || base::clock::now() >= request_.deadline || !still_allowed) {
         parts_.connections.release(address, connection, {});
-        co_return send_result{send_outcome::not_sent, still_allowed ? "deadline" : "target_leaving", {}};
+        auto const* closed =
+            parts_.board.fleet.held_off(target, base::clock::now()) ? "target_hold_off" : "target_leaving";
+        co_return send_result{send_outcome::not_sent, still_allowed ? "deadline" : closed, {}};
     }
     if (parts_.suspects.refuses(request_.fingerprint)) {
         parts_.connections.release(address, connection, {});
@@ -278,11 +278,11 @@
     if (result.outcome == send_outcome::answered && !result.server_error())
         parts_.suspects.on_success(request_.fingerprint);
     using enum forwarding::target_outcome;
-    if (!caller_left_ && result.may_have_run())
+    if (!caller_left_ && result.may_have_run() && !result.held_off)
         parts_.placements.record_outcome(
             target, result.outcome == send_outcome::answered && !result.server_error() ? answered : failed);
     if (result.reason == "other_target")
-        parts_.board.fleet.mark_leaving(target);
+        parts_.notices.on_replaced(target, request_.caller.id);
     co_return result;
 }
 
@@ -291,7 +291,7 @@
     auto const left = [this] { return request_.time_left(base::clock::now()); };
     // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
     expected_answer expected{request_.caller.id, request_.received.method() != http::beast_http::verb::head,
-                             maximum_answer_bytes, left};
+                             maximum_answer_bytes, left, parts_.notices.make_handler(target, request_.caller.id)};
     auto const head = co_await read_matching_head(connection, std::move(expected));
     if (!head) {
         connection->close();
@@ -312,7 +312,7 @@
     }
     parts_.connections.release(address, connection, facts.idle_timeout);
     if (facts.unproven_refusal)
-        co_return send_result{send_outcome::unknown, std::string{unproven_refusal_reason}, {}};
+        co_return make_unproven_refusal(facts.notices.hold_off.has_value());
     auto const outcome = facts.not_run ? send_outcome::not_run : send_outcome::answered;
     auto reason =
         facts.other_target ? std::string{"other_target"} : "status " + std::to_string(head.value().result_int());
--- a/Libraries/forwarding_entry/publication_controller.cpp
+++ b/Libraries/forwarding_entry/publication_controller.cpp
@@ -138,7 +138,7 @@
     if (record.sequence < known->record.sequence)
         return true;
     // The copy may hold a target that has left since. If it is still there, it announces itself again.
-    bool const gone = known->removed || known->record.state == forwarding::target_state::leaving;
+    bool const gone = known->removed || known->said_leaving();
     return after_restore && gone && record.sequence == known->record.sequence &&
            record.state == forwarding::target_state::serving;
 }
--- a/Libraries/log/event_kind.cpp
+++ b/Libraries/log/event_kind.cpp
@@ -75,6 +75,7 @@
     {permit_issuer_responsive, 617, info, "permit_issuer_responsive"},
     {store_restored, 211, warning, "store_restored"},
     {target_outdated, 618, info, "target_outdated"},
+    {target_hold_off, 619, info, "target_hold_off"},
     {request_cut_off, 825, warning, "request_cut_off"},
 }};
 
--- a/Libraries/log/event_kind.h
+++ b/Libraries/log/event_kind.h
@@ -76,6 +76,7 @@
     permit_issuer_responsive,
     store_restored,
     target_outdated,
+    target_hold_off,
     request_cut_off,
 };
 inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::request_cut_off) + 1;
--- a/Tests/platform/decoding_test.cpp
+++ b/Tests/platform/decoding_test.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(forwarded_requests);
     CPPUNIT_TEST(answers);
     CPPUNIT_TEST(request_limits);
+    CPPUNIT_TEST(target_notices);
+    CPPUNIT_TEST(return_times_of_targets_are_not_forwarded);
     CPPUNIT_TEST(refusals_have_statuses_that_callers_take_as_not_run);
     CPPUNIT_TEST_SUITE_END();
 
@@ -237,6 +239,51 @@
         });
     }
 
+    // Guards against a notice that is missed, or read where the target gives none.
+    void target_notices() {
+        struct row {
+            char const* name;
+            unsigned status;
+            char const* header;
+            char const* value;
+            bool leaving;
+            std::optional<base::milliseconds> hold_off;
+        };
+        std::vector<row> const table{
+            {"none", 200, "X-Other", "1", false, {}},
+            {"leaves, in a success", 200, "Server-Leaving", "1", true, {}},
+            {"leaves, in a refusal", 503, "server-leaving", "1", true, {}},
+            {"leaves, in a failure", 500, "Server-Leaving", "1", true, {}},
+            {"does not leave", 200, "Server-Leaving", "0", false, {}},
+            {"whole seconds", 503, "Retry-After", "3", false, base::milliseconds{3000}},
+            {"fraction", 503, "retry-after", "0.4", false, base::milliseconds{400}},
+            {"below a millisecond", 503, "Retry-After", "0.0001", false, base::milliseconds{1}},
+            {"no refusal", 200, "Retry-After", "3", false, {}},
+            {"other refusal", 429, "Retry-After", "3", false, {}},
+            {"empty", 503, "Retry-After", "", false, {}},
+            {"zero", 503, "Retry-After", "0", false, {}},
+            {"negative", 503, "Retry-After", "-2", false, {}},
+            {"no number", 503, "Retry-After", "soon", false, {}},
+            {"a date", 503, "Retry-After", "Fri, 04 Dec 2026 12:00:00 GMT", false, {}},
+            {"not finite", 503, "Retry-After", "inf", false, {}},
+            {"no value", 503, "Retry-After", "nan", false, {}},
+            {"too large", 503, "Retry-After", "1e300", false, std::chrono::hours{24}}};
+        for_each_row(table, [](row const& tested) {
+            http::response_head head;
+            head.result(tested.status);
+            head.set(tested.header, tested.value);
+            auto const notices = platform::decode_answer(head).notices;
+            CPPUNIT_ASSERT_EQUAL(tested.leaving, notices.leaving);
+            CPPUNIT_ASSERT(tested.hold_off == notices.hold_off);
+        });
+    }
+
+    // Guards against a target's time to return, which is for the entry that it refused, in the answer to a caller.
+    void return_times_of_targets_are_not_forwarded() {
+        CPPUNIT_ASSERT(!platform::is_forwarded_answer_header("retry-after"));
+        CPPUNIT_ASSERT(platform::is_forwarded_answer_header("X-Response-Stamp"));
+    }
+
     // Guards against a refusal that callers count as a wrong answer to a request that the configuration allows.
     void refusals_have_statuses_that_callers_take_as_not_run() {
         struct row {
