Return the memory of answers with their end, and let its budget live as long as its holders

At the end of the process, exchanges that were still alive would have returned it to a budget that was destroyed before them.

--- a/Libraries/base/byte_budget.cpp
+++ b/Libraries/base/byte_budget.cpp
@@ -3,7 +3,7 @@
 namespace cyclamenledge::base {
 
 bool byte_lease::resize(std::size_t bytes) {
-    if (budget_ != nullptr) {
+    if (budget_) {
         auto const others = budget_->held_ - bytes_;
         if (bytes > bytes_ && bytes > (budget_->limit_ - others) / 2)
             return false;
--- a/Libraries/base/byte_budget.h
+++ b/Libraries/base/byte_budget.h
@@ -1,13 +1,17 @@
 #pragma once
 
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
 #include <cstddef>
 #include <utility>
 
 namespace cyclamenledge::base {
 
 /// Memory that several holders share. A holder may hold at most as much as stays free, so that no number of large
-/// holders leaves nothing for small ones: one alone gets half, two get a third each. Belongs to one thread.
-class byte_budget {
+/// holders leaves nothing for small ones: one alone gets half, two get a third each. Belongs to one thread. Lives as
+/// long as its holders, which may outlive what has made it.
+class byte_budget : public boost::intrusive_ref_counter<byte_budget, boost::thread_unsafe_counter> {
 public:
     explicit byte_budget(std::size_t limit)
         : limit_(limit) {}
@@ -23,14 +27,16 @@
     std::size_t held_{0};
 };
 
+using byte_budget_pointer = boost::intrusive_ptr<byte_budget>;
+
 /// The part of a budget that one holder has. Returns it at its end. One without a budget has no limit.
 class byte_lease {
 public:
     byte_lease() = default;
-    explicit byte_lease(byte_budget& budget)
-        : budget_(&budget) {}
+    explicit byte_lease(byte_budget_pointer budget)
+        : budget_(std::move(budget)) {}
     byte_lease(byte_lease&& other) noexcept
-        : budget_(std::exchange(other.budget_, nullptr))
+        : budget_(std::move(other.budget_))
         , bytes_(std::exchange(other.bytes_, 0)) {}
     byte_lease& operator=(byte_lease&& other) noexcept {
         std::swap(budget_, other.budget_);
@@ -46,7 +52,7 @@
     std::size_t bytes() const { return bytes_; }
 
 private:
-    byte_budget* budget_{nullptr};
+    byte_budget_pointer budget_;
     std::size_t bytes_{0};
 };
 
--- a/Libraries/forwarding_entry/entry_parts.h
+++ b/Libraries/forwarding_entry/entry_parts.h
@@ -27,7 +27,7 @@
     target_notice_controller& notices;
     target_connections& connections;
     /// Memory for the unfinished answers of all targets.
-    base::byte_budget& answer_memory;
+    base::byte_budget_pointer answer_memory;
     copy_slot_client& copy_slots;
     reservation_client& reservations;
     stream_registry& streams;
--- a/Libraries/forwarding_entry/forwarding_entry_role.h
+++ b/Libraries/forwarding_entry/forwarding_entry_role.h
@@ -61,7 +61,7 @@
     target_notice_controller notices_;
     placement_controller placements_;
     target_connections connections_;
-    base::byte_budget answer_memory_{answer_memory_bytes};
+    base::byte_budget_pointer answer_memory_{new base::byte_budget{answer_memory_bytes}};
     copy_slot_client copy_slots_;
     stream_registry streams_;
     poison_control::poison_controller suspects_;
--- a/Libraries/http/session.cpp
+++ b/Libraries/http/session.cpp
@@ -174,18 +174,22 @@
 }
 
 void session::watch_for_close(std::function<void()> on_close) {
+    on_close_ = std::move(on_close);
+    wait_for_close();
+}
+
+void session::wait_for_close() {
     stream_.socket().async_wait(
-        asio::ip::tcp::socket::wait_read,
-        [self = session_pointer{this}, notify = std::move(on_close)](beast::error_code const& code) {
-            if (code)
+        asio::ip::tcp::socket::wait_read, [self = session_pointer{this}](beast::error_code const& code) {
+            if (code || !self->on_close_)
                 return;
             // The wake-up may belong to data that has been read already, so only the socket can tell that it is closed.
             char byte = 0;
             auto const received = ::recv(self->stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
             if (received < 0 && (errno == EAGAIN || errno == EINTR))
-                self->watch_for_close(notify);
+                self->wait_for_close();
             else if (received <= 0)
-                notify();
+                std::exchange(self->on_close_, nullptr)();
             // Data belongs to a pipelined request; that caller is still there.
         });
 }
--- a/Libraries/http/session.h
+++ b/Libraries/http/session.h
@@ -32,6 +32,8 @@
 
     /// Calls the function when the client closes while its request is being served.
     void watch_for_close(std::function<void()> on_close);
+    /// Drops the function: the request has been served.
+    void end_watch() { on_close_ = nullptr; }
 
     bool keep_alive() const { return keep_alive_; }
     void end_after_answer() { keep_alive_ = false; }
@@ -50,6 +52,7 @@
     enum class progress : std::uint8_t { nothing, part_of_request, whole_request };
 
     bool ends_idle() const { return waive_first_request_ || (ending_ && requests_ > 0); }
+    void wait_for_close();
     void limit_read(base::milliseconds longest);
     bool end_read_limit();
 
@@ -60,6 +63,7 @@
     bool read_expired_{false};
     boost::beast::flat_buffer buffer_;
     server_limits const& limits_;
+    std::function<void()> on_close_;
     bool keep_alive_{true};
     progress progress_{progress::nothing};
     bool ending_{false};
--- a/Tests/base/byte_budget_test.cpp
+++ b/Tests/base/byte_budget_test.cpp
@@ -40,20 +40,20 @@
             {"less while others hold much", 350, 500, 499, true},
         };
         for_each_row(table, [](row const& tested) {
-            base::byte_budget budget{limit};
+            base::byte_budget_pointer const budget{new base::byte_budget{limit}};
             base::byte_lease others{budget};
             base::byte_lease own{budget};
             CPPUNIT_ASSERT(own.resize(tested.before) && others.resize(tested.others));
             CPPUNIT_ASSERT_EQUAL(tested.allowed, own.resize(tested.wanted));
             CPPUNIT_ASSERT_EQUAL(tested.allowed ? tested.wanted : tested.before, own.bytes());
-            CPPUNIT_ASSERT_EQUAL(own.bytes() + others.bytes(), budget.held());
+            CPPUNIT_ASSERT_EQUAL(own.bytes() + others.bytes(), budget->held());
         });
     }
 
     // Guards against a few endless answers that make all others fail.
     void large_holders_leave_room_for_small_ones() {
         constexpr std::size_t holders = 9;
-        base::byte_budget budget{limit};
+        base::byte_budget_pointer const budget{new base::byte_budget{limit}};
         std::vector<base::byte_lease> large;
         for (std::size_t index = 0; index < holders; ++index)
             large.emplace_back(budget);
@@ -69,7 +69,7 @@
     void the_sum_never_exceeds_the_limit() {
         check_property("sum of leases", [](std::uint64_t seed) {
             base::random_source random{seed};
-            base::byte_budget budget{limit};
+            base::byte_budget_pointer const budget{new base::byte_budget{limit}};
             {
                 std::array<base::byte_lease, 5> leases;
                 std::ranges::generate(leases, [&] { return base::byte_lease{budget}; });
@@ -78,11 +78,11 @@
                     std::size_t sum = 0;
                     for (auto const& lease : leases)
                         sum += lease.bytes();
-                    RC_ASSERT(sum == budget.held());
+                    RC_ASSERT(sum == budget->held());
                     RC_ASSERT(sum <= limit);
                 }
             }
-            RC_ASSERT(budget.held() == 0);
+            RC_ASSERT(budget->held() == 0);
         });
     }
 };
