Mend what the review of the retries, moves and notices found

- A run that resumes a stream and is silent after the end of its source was neither replaced nor ended before the deadline: it counts as the awaited run now.
- A stalled run went on until the first event of the one that resumes it.
It ends when the other target has accepted the resumption, so that both do not work side by side for long.
- A run that was cancelled could still take over with bytes that had been read before.
- A replica was given up when its holder could not be used for a moment.
- A leaving notice that arrived while a stalled stream moved was not looked at again.
- The replacement of one run could be given up at the end of another one.
- A call was replaced while its answer was already arriving.
- Resumptions of stalled runs, and further ones of the same run, ask the retry budget; the first one that follows a loss or leads a stream away from a leaving engine does not.
- A notice in a late answer of an earlier incarnation took the later one out of use for good.
- The number of entries is at least the number that the settings name.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -117,18 +117,19 @@
     });
 }
 
-bool fleet_view::mark_leaving(std::string const& id, base::time_point now) {
-    auto const found = targets_.find(id);
-    if (found == targets_.end())
+bool fleet_view::mark_leaving(target_incarnation const& target, base::time_point now) {
+    auto const found = targets_.find(target.id);
+    if (found == targets_.end() || found->second.record.started_at != target.started_at)
         return false;
     bool const known = found->second.leaving(now);
     found->second.shown_leaving = true;
     return !known;
 }
 
-bool fleet_view::hold_off(std::string const& id, base::milliseconds length, base::time_point now) {
-    auto const found = targets_.find(id);
-    return found != targets_.end() && found->second.hold_off.on_answer(length, now);
+bool fleet_view::hold_off(target_incarnation const& target, base::milliseconds length, base::time_point now) {
+    auto const found = targets_.find(target.id);
+    return found != targets_.end() && found->second.record.started_at == target.started_at &&
+           found->second.hold_off.on_answer(length, now);
 }
 
 bool fleet_view::held_off(std::string const& id, base::time_point now) const {
@@ -152,7 +153,8 @@
     auto const* engine = capacity(target);
     auto const slots = engine != nullptr ? engine->slots : target.record.slots;
     // Each entry expects to use its part of the slots once a second.
-    found.per_second += static_cast<double>(std::max(1U, slots)) / count_entries(now).value_or(1);
+    auto const entries = count_entries(now);
+    found.per_second += entries ? static_cast<double>(std::max(1U, slots)) / *entries : 1;
 }
 
 std::optional<placement> fleet_view::find_hold_off(placement_request request, base::time_point now) const {
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -152,9 +152,9 @@
     bool reported_leaving(std::string const& address) const;
     /// Marks this incarnation of the target as leaving on other evidence than a report, such as a response of the
     /// target. Returns whether it was not known to be leaving.
-    bool mark_leaving(std::string const& id, base::time_point now);
+    bool mark_leaving(target_incarnation const& target, base::time_point now);
     /// The target wants nothing from this process for the time. Returns whether the end of its hold-off has changed.
-    bool hold_off(std::string const& id, base::milliseconds length, base::time_point now);
+    bool hold_off(target_incarnation const& target, base::milliseconds length, base::time_point now);
     bool held_off(std::string const& id, base::time_point now) const;
     /// Whether memory may be copied off the target.
     bool may_copy_from(std::string const& id, base::time_point now) const;
--- a/Libraries/forwarding_entry/peer_controller.cpp
+++ b/Libraries/forwarding_entry/peer_controller.cpp
@@ -67,6 +67,7 @@
 
 void peer_controller::start(std::vector<std::string> const& peers, std::string const& own_address) {
     uses_relays_ = std::ranges::find(peers, own_address) == peers.end();
+    named_peers_ = peers.size();
     hub_.add_observer(*this);
     for (auto const& peer : peers) {
         if (peer != own_address)
@@ -100,7 +101,8 @@
     }
     // An entry that is cut off from all others must not take the whole of what they divide.
     if (!others.empty())
-        board_.fleet.observe_entries(static_cast<std::uint32_t>(others.size()) + 1, base::clock::now());
+        board_.fleet.observe_entries(static_cast<std::uint32_t>(std::max(others.size() + 1, named_peers_)),
+                                     base::clock::now());
 }
 
 wire::schema::PublicationRequestT peer_controller::make_request() const {
--- a/Libraries/forwarding_entry/peer_controller.h
+++ b/Libraries/forwarding_entry/peer_controller.h
@@ -53,6 +53,8 @@
     forwarding::store_revision received_revision_;
     /// Whether this entry receives changes from store relays. False for the relays themselves, which watch the store.
     bool uses_relays_{false};
+    /// Entries that the settings name. There are at least as many entries.
+    std::size_t named_peers_{0};
     forwarding::store_relay_table relays_;
     struct follower {
         link::connection_pointer connection;
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -41,12 +41,14 @@
     boost::intrusive_ptr<plain_exchange> const self{this};
     request_.client->watch_for_close([self] { self->on_caller_left(); });
     auto answer = co_await run_attempts();
+    request_.client->end_watch();
     if (caller_left_) {
         log::write(log::event_kind::request_cancelled, {{"request", request_.caller.id}});
         request_.client->end_after_answer();
         co_return;
     }
     std::ignore = co_await request_.client->send(std::move(answer));
+    answer_memory_.resize(0);
 }
 
 void plain_exchange::on_caller_left() {
@@ -75,10 +77,10 @@
         co_await current->timer.async_wait(asio::as_tuple(asio::use_awaitable));
         auto const now = base::clock::now();
         // A successor that has less time than this attempt has had would be less likely to answer.
-        if (current->ended || caller_left_ || request_.time_left(now) < now - current->sent_at)
+        if (current->ended || answer_began_ || caller_left_ || request_.time_left(now) < now - current->sent_at)
             co_return;
         auto prepared = co_await prepare_successor(current);
-        if (prepared && (current->ended || caller_left_)) {
+        if (prepared && (current->ended || answer_began_ || caller_left_)) {
             withdraw(*prepared);
             co_return;
         }
@@ -225,6 +227,7 @@
     if (view == nullptr)
         co_return send_result{send_outcome::not_sent, "target_gone", {}};
     auto const address = view->record.address;
+    auto const started_at = view->record.started_at;
     auto const now = base::clock::now();
     if (!connection) {
         auto const connected = co_await parts_.connections.acquire(
@@ -251,6 +254,7 @@
         co_return send_result{send_outcome::not_sent, std::string{base::name_of(base::error_kind::poison_request)}, {}};
     }
     connection_ = std::move(connection);
+    answer_began_ = false;
     platform::forwarded_context context;
     context.time_left = request_.time_left(base::clock::now());
     context.target = target;
@@ -262,7 +266,7 @@
     if (auto const sent = co_await connection_->send(message, request_.time_left(base::clock::now())); !sent)
         result = make_unknown_result(sent.error());
     else
-        result = co_await read_answer(target, address, connection_);
+        result = co_await read_answer({target, started_at}, address, connection_);
     current->ended = true;
     current->timer.cancel();
     if (successor_ && result.outcome == send_outcome::unknown)
@@ -282,11 +286,11 @@
         parts_.placements.record_outcome(
             target, result.outcome == send_outcome::answered && !result.server_error() ? answered : failed);
     if (result.reason == "other_target")
-        parts_.notices.on_replaced(target, request_.caller.id);
+        parts_.notices.on_replaced({target, started_at}, request_.caller.id);
     co_return result;
 }
 
-asio::awaitable<send_result> plain_exchange::read_answer(std::string const& target, std::string const& address,
+asio::awaitable<send_result> plain_exchange::read_answer(forwarding::target_incarnation target, std::string address,
                                                          http::upstream_pointer connection) {
     auto const left = [this] { return request_.time_left(base::clock::now()); };
     // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
@@ -297,8 +301,9 @@
         connection->close();
         co_return make_unknown_result(head.error());
     }
+    answer_began_ = true;
     auto const facts = platform::decode_answer(head.value());
-    parts_.permits.on_answer(target, request_.caller.id, facts);
+    parts_.permits.on_answer(target.id, request_.caller.id, facts);
     auto body = co_await connection->read_whole_body(maximum_answer_bytes, left(), &answer_memory_);
     if (!body) {
         connection->close();
--- a/Libraries/forwarding_entry/plain_exchange.h
+++ b/Libraries/forwarding_entry/plain_exchange.h
@@ -52,7 +52,7 @@
 
     boost::asio::awaitable<http::response> run_attempts();
     boost::asio::awaitable<send_result> send_to(std::string target, http::upstream_pointer connection);
-    boost::asio::awaitable<send_result> read_answer(std::string const& target, std::string const& address,
+    boost::asio::awaitable<send_result> read_answer(forwarding::target_incarnation target, std::string address,
                                                     http::upstream_pointer connection);
     boost::asio::awaitable<void> replace_when_slow(self_pointer self, attempt_pointer current);
     boost::asio::awaitable<std::optional<prepared_attempt>> prepare_successor(attempt_pointer current);
@@ -66,6 +66,8 @@
     entry_parts& parts_;
     request_context request_;
     http::upstream_pointer connection_;
+    /// Whether the head of the running attempt's answer has arrived.
+    bool answer_began_{false};
     /// Set when the running attempt was ended for it.
     std::optional<prepared_attempt> successor_;
     /// Held until the answer is written to the caller.
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -109,7 +109,9 @@
         }
     }
     unlink();
+    request_.client->end_watch();
     cancel_others(forwarding::no_run);
+    discard_replacement();
     co_await finish();
 }
 
@@ -178,8 +180,10 @@
     stream_run_pointer created{new stream_run};
     created->number = number;
     created->target = target;
-    if (auto const* view = parts_.board.fleet.find(target))
+    if (auto const* view = parts_.board.fleet.find(target)) {
         created->address = view->record.address;
+        created->target_started_at = view->record.started_at;
+    }
     created->answer_memory = base::byte_lease{parts_.answer_memory};
     created->context.target = target;
     created->context.organisation = request_.organisation == nullptr ? "" : request_.organisation->name;
@@ -205,7 +209,8 @@
     auto result = co_await send_and_read(current);
     current->ended = true;
     current->stall_timer->cancel();
-    if (replacement_ && result.outcome == send_outcome::unknown)
+    bool const replaced = replacement_ && replacement_->replaced == current->number;
+    if (replaced && result.outcome == send_outcome::unknown)
         result.reason = replaced_reason;
     current->connection.reset();
     std::erase(runs_, current);
@@ -232,9 +237,10 @@
     if (!current->cancelled && !caller_left_ && !target_leaving && result.may_have_run() && !result.held_off)
         parts_.placements.record_outcome(current->target, succeeded ? answered : failed);
     if (result.reason == "other_target")
-        parts_.notices.on_replaced(current->target, request_.caller.id);
+        parts_.notices.on_replaced({current->target, current->target_started_at}, request_.caller.id);
     on_end(*current, std::move(result));
-    discard_replacement();
+    if (replaced)
+        discard_replacement();
     takeover_timer_.cancel();
     wake();
 }
@@ -271,9 +277,9 @@
     if (auto const sent = co_await current->connection->send(message, left); !sent)
         co_return make_unknown_result(sent.error());
     // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
-    expected_answer expected{request_.caller.id, true, maximum_refusal_bytes,
-                             [this] { return request_.time_left(base::clock::now()); },
-                             parts_.notices.make_handler(current->target, request_.caller.id)};
+    expected_answer expected{
+        request_.caller.id, true, maximum_refusal_bytes, [this] { return request_.time_left(base::clock::now()); },
+        parts_.notices.make_handler({current->target, current->target_started_at}, request_.caller.id)};
     auto const head = co_await read_matching_head(current->connection, std::move(expected));
     if (!head) {
         current->connection->close();
@@ -307,12 +313,16 @@
     }
     if (!head_)
         head_ = make_caller_head(head);
+    if (current->replaces_stalled)
+        cancel_others(current->number);
     while (true) {
         auto const part = co_await connection->read_body(request_.time_left(base::clock::now()));
         if (!part) {
             connection->close();
             co_return make_unknown_result(part.error());
         }
+        if (current->cancelled)
+            co_return send_result{send_outcome::unknown, "cancelled", {}};
         if (part.value().empty())
             break;
         current->splitter.append(part.value());
@@ -428,7 +438,7 @@
     if (!crashes_targets_ && result.may_have_run() && resume_from_backup(ended))
         return;
     auto const facts = make_attempt_facts(result);
-    if (replacement_ && !crashes_targets_) {
+    if (replacement_ && replacement_->replaced == ended.number && !crashes_targets_) {
         start_replacement(result.reason);
         return;
     }
@@ -487,8 +497,10 @@
             co_return;
         auto const now = base::clock::now();
         auto const rule = stall_rule_of(*current);
-        // A copy that has not taken over yet has its own timeout.
-        bool const awaited = current->sent && current->number == relay_.active();
+        // A copy that has not taken over yet has its own timeout while another run is left.
+        bool const active = current->number == relay_.active() ||
+                            (relay_.active() == forwarding::no_run && current->number == relay_.successor());
+        bool const awaited = current->sent && active;
         auto const due = rule && awaited ? current->progress_at + rule->after : now + stall_check_interval;
         if (now < due) {
             timer.expires_at(due);
@@ -505,14 +517,23 @@
     if (moving_ || crashes_targets_)
         co_return false;
     if (action == forwarding::stall_action::resume_from_backup) {
+        auto const now = base::clock::now();
+        auto& budget = parts_.board.retry_budget(request_.service);
+        // The stalled run may still go on, so resuming elsewhere is a retry like others.
+        if (!budget.try_spend(parts_.board.fleet.count_entries(now), now))
+            co_return false;
         auto const copy = consume_backup(*current);
-        if (!copy)
+        if (!copy) {
+            budget.give_back(now);
             co_return false;
+        }
         moving_ = true;
-        bool const taken_over = co_await resume_from_copy(current, *copy, takeover_timeout_when_stalled);
+        bool const taken_over = co_await resume_from_copy(current, *copy, source_state::stalled);
         moving_ = false;
         if (taken_over)
             parts_.placements.record_outcome(current->target, forwarding::target_outcome::failed);
+        // The engine may have begun to leave meanwhile.
+        on_fleet_change();
         co_return taken_over;
     }
     auto prepared = co_await prepare_replacement(current);
@@ -548,6 +569,7 @@
         co_return std::nullopt;
     }
     prepared.target = *target;
+    prepared.replaced = current->number;
     auto const connected = co_await parts_.connections.acquire(
         view->record.address, target_connections::connect_timeout, unlimited_idle_time);
     if (!connected) {
@@ -582,7 +604,7 @@
 
 bool stream_exchange::resume_from_backup(stream_run& ended) {
     auto const copy = consume_backup(ended);
-    if (!copy)
+    if (!copy || !charge_resumption(ended))
         return false;
     launch(make_resuming_run(relay_.start_run(), ended, *copy));
     log::write(log::event_kind::stream_recovered, {{"request", request_.caller.id},
@@ -597,19 +619,27 @@
     // not check for it would run the request again.
     if (!run.received_event || !may_resume(run))
         return std::nullopt;
+    if (!parts_.board.fleet.may_receive(run.backup_target, base::clock::now()))
+        return std::nullopt;
     // The backup is used once: when a target has refused it, the copy does not exist.
     auto const target = std::exchange(run.backup_target, {});
-    if (!parts_.board.fleet.may_receive(target, base::clock::now()))
-        return std::nullopt;
     return resumable_copy{target, {run.context.backup_address, request_.caller.id}};
 }
 
+bool stream_exchange::charge_resumption(stream_run const& source) {
+    auto const now = base::clock::now();
+    auto& budget = parts_.board.retry_budget(request_.service);
+    if (source.resumptions > 0)
+        return budget.try_spend(parts_.board.fleet.count_entries(now), now);
+    // Without the first one, the stream would be lost.
+    budget.spend(now);
+    return true;
+}
+
 stream_run_pointer stream_exchange::make_resuming_run(forwarding::run_number number, stream_run& source,
                                                       resumable_copy const& copy) {
     ++source.resumptions;
-    auto const now = base::clock::now();
-    parts_.board.fleet.begin_request(copy.target, std::nullopt, now);
-    parts_.board.retry_budget(request_.service).spend(now);
+    parts_.board.fleet.begin_request(copy.target, std::nullopt, base::clock::now());
     auto started = make_run(number, copy.target);
     started->context.resume_from = copy.memory;
     started->context.resume_after = relay_.last_event();
@@ -672,7 +702,7 @@
         if (!movable || view == nullptr || !view->leaving(base::clock::now()) || !may_resume(*source))
             break;
         auto const backup = consume_backup(*source);
-        if (backup && co_await resume_from_copy(source, *backup, takeover_timeout))
+        if (backup && co_await resume_from_copy(source, *backup, source_state::leaving))
             break;
         if (may_resume(*source) && co_await try_move(source, refused))
             break;
@@ -759,23 +789,27 @@
                                                 {"tokens", tokens_held()},
                                                 {"duration_ms", milliseconds_since(copy_started, now)}});
     resumable_copy made{chosen.target, {source->address, copied.handle}};
-    bool const taken_over = co_await resume_from_copy(source, std::move(made), takeover_timeout);
+    bool const taken_over = co_await resume_from_copy(source, std::move(made), source_state::leaving);
     if (!taken_over)
         refused.push_back(chosen.target);
     co_return taken_over;
 }
 
 asio::awaitable<bool> stream_exchange::resume_from_copy(stream_run_pointer source, resumable_copy copy,
-                                                        base::milliseconds timeout) {
+                                                        source_state state) {
+    bool const stalled = state == source_state::stalled;
     if (phase_ != phase::running || caller_left_)
         co_return true;
     // The target may have started to leave while the copy was made.
     if (!parts_.board.fleet.may_receive(copy.target, base::clock::now()))
         co_return false;
+    if (!stalled && !charge_resumption(*source))
+        co_return false;
     auto const started = make_resuming_run(relay_.start_successor(), *source, copy);
+    started->replaces_stalled = stalled;
     launch(started);
     while (!started->ended && relay_.active() != started->number && !caller_left_) {
-        takeover_timer_.expires_after(timeout);
+        takeover_timer_.expires_after(stalled ? takeover_timeout_when_stalled : takeover_timeout);
         auto const [code] = co_await takeover_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
         if (!code)
             break;
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -50,11 +50,16 @@
 
     /// All that a run at another target needs: a placement, a connection and the retry budget.
     struct prepared_run {
+        /// The run that is ended for it.
+        forwarding::run_number replaced{forwarding::no_run};
         std::string target;
         http::upstream_pointer connection;
         retry_decision decision;
     };
 
+    /// Why a run at another target is to take over from a running one.
+    enum class source_state : std::uint8_t { leaving, stalled };
+
     // Runs.
     boost::asio::awaitable<void> start_first_run();
     void start_run_at(std::string const& target, http::upstream_pointer connection);
@@ -83,6 +88,8 @@
     void recover(stream_run& ended, send_result result);
     bool resume_from_backup(stream_run& ended);
     std::optional<resumable_copy> consume_backup(stream_run& run);
+    /// Counts a resumption in the retry budget. The first one that takes over from a run needs no permission.
+    bool charge_resumption(stream_run const& source);
     stream_run_pointer make_resuming_run(forwarding::run_number number, stream_run& source, resumable_copy const& copy);
     void on_takeover(stream_run const& successor, forwarding::stream_event const& event);
     void choose_backup(stream_run& started);
@@ -94,8 +101,7 @@
     /// engine stops.
     forwarding::copy_span widest_copy(stream_run const& source) const;
     boost::asio::awaitable<bool> try_move(stream_run_pointer source, std::vector<std::string>& refused);
-    boost::asio::awaitable<bool> resume_from_copy(stream_run_pointer source, resumable_copy copy,
-                                                  base::milliseconds timeout);
+    boost::asio::awaitable<bool> resume_from_copy(stream_run_pointer source, resumable_copy copy, source_state state);
     boost::asio::awaitable<void> pause(base::milliseconds length);
 
     // The caller.
--- a/Libraries/forwarding_entry/stream_run.h
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -20,6 +20,8 @@
 struct stream_run : public boost::intrusive_ref_counter<stream_run> {
     forwarding::run_number number{forwarding::no_run};
     std::string target;
+    /// Start of the target's incarnation, see target_record.
+    std::int64_t target_started_at{0};
     std::string address;
     platform::forwarded_context context;
     /// Target to which the memory of the run is replicated. Empty without a backup and after the backup was used.
@@ -28,6 +30,8 @@
     std::uint32_t resumptions{0};
     /// Null before the connection is established and after the run has ended.
     http::upstream_pointer connection;
+    /// Ends the run that it resumes as soon as the target has accepted it, because that run has stalled.
+    bool replaces_stalled{false};
     /// Opened before the run was placed. Otherwise the run opens its own.
     http::upstream_pointer prepared_connection;
     /// Runs while the run does. Cancelled at its end.
--- a/Libraries/forwarding_entry/target_notice_controller.cpp
+++ b/Libraries/forwarding_entry/target_notice_controller.cpp
@@ -17,24 +17,25 @@
 
 } // namespace
 
-forwarding::notices_handler target_notice_controller::make_handler(std::string target, std::string request) {
+forwarding::notices_handler target_notice_controller::make_handler(forwarding::target_incarnation target,
+                                                                   std::string request) {
     return [this, target = std::move(target), request = std::move(request)](auto const& notices) {
         on_answer(target, request, notices);
     };
 }
 
-void target_notice_controller::on_replaced(std::string const& target, std::string const& request) {
+void target_notice_controller::on_replaced(forwarding::target_incarnation const& target, std::string const& request) {
     mark_leaving(target, request, "other_target");
 }
 
-void target_notice_controller::on_answer(std::string const& target, std::string const& request,
+void target_notice_controller::on_answer(forwarding::target_incarnation const& target, std::string const& request,
                                          forwarding::target_notices const& notices) {
     if (notices.leaving)
         mark_leaving(target, request, "answer");
     if (!notices.hold_off || !board_.fleet.hold_off(target, *notices.hold_off, base::clock::now()))
         return;
     log::write(log::event_kind::target_hold_off,
-               {{"target", target},
+               {{"target", target.id},
                 {"request", request},
                 {"duration_ms", notices.hold_off->count()},
                 {"ends_at_ms", unix_milliseconds(std::chrono::system_clock::now() + *notices.hold_off)}});
@@ -42,11 +43,11 @@
     notify();
 }
 
-void target_notice_controller::mark_leaving(std::string const& target, std::string const& request,
+void target_notice_controller::mark_leaving(forwarding::target_incarnation const& target, std::string const& request,
                                             std::string_view source) {
     if (!board_.fleet.mark_leaving(target, base::clock::now()))
         return;
-    log::write(log::event_kind::target_leaving, {{"target", target}, {"request", request}, {"source", source}});
+    log::write(log::event_kind::target_leaving, {{"target", target.id}, {"request", request}, {"source", source}});
     notify();
 }
 
--- a/Libraries/forwarding_entry/target_notice_controller.h
+++ b/Libraries/forwarding_entry/target_notice_controller.h
@@ -21,14 +21,17 @@
 
     /// The observer is called when targets have become usable or unusable, but not from within the calls below.
     void set_observer(std::function<void()> on_change) { on_change_ = std::move(on_change); }
-    /// Returns a handler of the notices that the target gives in answers on the connection of the request.
-    forwarding::notices_handler make_handler(std::string target, std::string request);
+    /// Returns a handler of the notices that the target gives in answers on the connection of the request. A notice of
+    /// an earlier incarnation says nothing about a later one under the same id.
+    forwarding::notices_handler make_handler(forwarding::target_incarnation target, std::string request);
     /// Another target answers at the target's address.
-    void on_replaced(std::string const& target, std::string const& request);
+    void on_replaced(forwarding::target_incarnation const& target, std::string const& request);
 
 private:
-    void on_answer(std::string const& target, std::string const& request, forwarding::target_notices const& notices);
-    void mark_leaving(std::string const& target, std::string const& request, std::string_view source);
+    void on_answer(forwarding::target_incarnation const& target, std::string const& request,
+                   forwarding::target_notices const& notices);
+    void mark_leaving(forwarding::target_incarnation const& target, std::string const& request,
+                      std::string_view source);
     void notify();
     /// Calls the observer when the next hold-off ends.
     void schedule();
--- a/Tests/forwarding/placement_test.cpp
+++ b/Tests/forwarding/placement_test.cpp
@@ -307,8 +307,16 @@
             {"unchanged", [](fleet_view&) {}, true},
             {"evacuated", [](fleet_view& fleet) { fleet.set_evacuated("north-a", true); }, false},
             {"other failure domain evacuated", [](fleet_view& fleet) { fleet.set_evacuated("north-b", true); }, true},
-            {"leaving", [](fleet_view& fleet) { fleet.mark_leaving("a", fleet_start); }, false},
-            {"wants nothing for a time", [](fleet_view& fleet) { fleet.hold_off("a", 1s, fleet_start); }, false},
+            {"leaving",
+             [](fleet_view& fleet) {
+                 fleet.mark_leaving({"a", 0}, fleet_start);
+             },
+             false},
+            {"wants nothing for a time",
+             [](fleet_view& fleet) {
+                 fleet.hold_off({"a", 0}, 1s, fleet_start);
+             },
+             false},
             {"removed", [](fleet_view& fleet) { fleet.remove_target("a", false, fleet_start); }, false},
         };
         for_each_row(table, [](row const& tested) {
--- a/Tests/forwarding/target_notices_test.cpp
+++ b/Tests/forwarding/target_notices_test.cpp
@@ -33,8 +33,8 @@
     auto fleet = make_fleet();
     fleet.update_target(plain_record("a"), fleet_start);
     fleet.update_target(plain_record("b"), fleet_start);
-    fleet.hold_off("a", first, fleet_start);
-    fleet.hold_off("b", second, fleet_start);
+    fleet.hold_off({"a", 5}, first, fleet_start);
+    fleet.hold_off({"b", 5}, second, fleet_start);
     return fleet;
 }
 
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(requests_go_elsewhere_wait_or_return_after_a_hold_off);
     CPPUNIT_TEST(hold_offs_of_tried_targets_are_told);
     CPPUNIT_TEST(the_latest_end_of_a_hold_off_counts);
+    CPPUNIT_TEST(notices_of_an_earlier_incarnation_say_nothing_of_a_later_one);
     CPPUNIT_TEST(a_hold_off_ends_with_the_incarnation);
     CPPUNIT_TEST(a_hold_off_outlasts_a_removal);
     CPPUNIT_TEST(engines_in_a_hold_off_hold_no_copies);
@@ -89,8 +90,8 @@
         for_each_row(table, [](row const& tested) {
             auto fleet = make_fleet();
             fleet.update_target(plain_record("a"), fleet_start);
-            CPPUNIT_ASSERT(fleet.mark_leaving("a", fleet_start));
-            CPPUNIT_ASSERT(!fleet.mark_leaving("a", fleet_start));
+            CPPUNIT_ASSERT(fleet.mark_leaving({"a", 5}, fleet_start));
+            CPPUNIT_ASSERT(!fleet.mark_leaving({"a", 5}, fleet_start));
             tested.change(fleet);
             auto const later = fleet_start + fleet_view::removed_lifetime + 3s;
             CPPUNIT_ASSERT_EQUAL(tested.usable, fleet.may_receive("a", later));
@@ -151,14 +152,27 @@
     void the_latest_end_of_a_hold_off_counts() {
         auto fleet = make_fleet();
         fleet.update_target(plain_record("a"), fleet_start);
-        CPPUNIT_ASSERT(fleet.hold_off("a", 2s, fleet_start));
-        CPPUNIT_ASSERT(!fleet.hold_off("a", 1s, fleet_start + 100ms));
-        CPPUNIT_ASSERT(!fleet.hold_off("a", 0s, fleet_start + 100ms));
+        CPPUNIT_ASSERT(fleet.hold_off({"a", 5}, 2s, fleet_start));
+        CPPUNIT_ASSERT(!fleet.hold_off({"a", 5}, 1s, fleet_start + 100ms));
+        CPPUNIT_ASSERT(!fleet.hold_off({"a", 5}, 0s, fleet_start + 100ms));
         CPPUNIT_ASSERT(!fleet.may_receive("a", fleet_start + 1999ms));
-        CPPUNIT_ASSERT(fleet.hold_off("a", 2s, fleet_start + 1s));
+        CPPUNIT_ASSERT(fleet.hold_off({"a", 5}, 2s, fleet_start + 1s));
         CPPUNIT_ASSERT(!fleet.may_receive("a", fleet_start + 2999ms));
         CPPUNIT_ASSERT(fleet.may_receive("a", fleet_start + 3s));
-        CPPUNIT_ASSERT(!fleet.hold_off("unknown", 2s, fleet_start));
+        CPPUNIT_ASSERT(!fleet.hold_off({"unknown", 5}, 2s, fleet_start));
+    }
+
+    // Guards against a healthy target that is never used again, because a late answer of the process that had its id
+    // before was read after its own announcement.
+    void notices_of_an_earlier_incarnation_say_nothing_of_a_later_one() {
+        auto fleet = make_fleet();
+        auto record = plain_record("a");
+        fleet.update_target(record, fleet_start);
+        record.started_at = 6;
+        fleet.update_target(record, fleet_start + 1s);
+        CPPUNIT_ASSERT(!fleet.mark_leaving({"a", 5}, fleet_start + 1s));
+        CPPUNIT_ASSERT(!fleet.hold_off({"a", 5}, 2s, fleet_start + 1s));
+        CPPUNIT_ASSERT(fleet.may_receive("a", fleet_start + 1s));
     }
 
     // Guards against a new incarnation that is left unused, and against a listing that ends the hold-off of the same
@@ -167,7 +181,7 @@
         auto fleet = make_fleet();
         auto record = plain_record("a");
         fleet.update_target(record, fleet_start);
-        fleet.hold_off("a", 2s, fleet_start);
+        fleet.hold_off({"a", 5}, 2s, fleet_start);
         fleet.update_target(record, fleet_start + 1s);
         CPPUNIT_ASSERT(!fleet.may_receive("a", fleet_start + 1s));
         record.started_at = 6;
@@ -179,7 +193,7 @@
     void a_hold_off_outlasts_a_removal() {
         auto fleet = make_fleet();
         fleet.update_target(plain_record("a"), fleet_start);
-        fleet.hold_off("a", 60s, fleet_start);
+        fleet.hold_off({"a", 5}, 60s, fleet_start);
         fleet.remove_target("a", false, fleet_start);
         fleet.expire(fleet_start + 40s);
         fleet.update_target(plain_record("a"), fleet_start + 41s);
@@ -195,7 +209,7 @@
         }
         copy_request const wanted{generation(), "source", 4000, 0.97, copy_span::other_region};
         CPPUNIT_ASSERT_EQUAL(std::string{"a"}, fleet.choose_copy_holder(wanted, fleet_start).target);
-        fleet.hold_off("a", 1s, fleet_start);
+        fleet.hold_off({"a", 5}, 1s, fleet_start);
         CPPUNIT_ASSERT(fleet.choose_copy_holder(wanted, fleet_start).kind == placement_kind::none);
         CPPUNIT_ASSERT_EQUAL(std::string{"a"}, fleet.choose_copy_holder(wanted, fleet_start + 1s).target);
     }
@@ -206,15 +220,15 @@
         fleet.update_target(plain_record("a"), fleet_start);
         for (int number = 0; number < 5; ++number)
             CPPUNIT_ASSERT(fleet.take_copy_call("a", fleet_start));
-        fleet.hold_off("a", 2s, fleet_start);
+        fleet.hold_off({"a", 5}, 2s, fleet_start);
         CPPUNIT_ASSERT(fleet.take_copy_call("a", fleet_start + 1s));
         // A longer hold-off permits no further calls.
-        fleet.hold_off("a", 2s, fleet_start + 1s);
+        fleet.hold_off({"a", 5}, 2s, fleet_start + 1s);
         CPPUNIT_ASSERT(fleet.take_copy_call("a", fleet_start + 1s));
         CPPUNIT_ASSERT(!fleet.may_copy_from("a", fleet_start + 1s));
         CPPUNIT_ASSERT(!fleet.take_copy_call("a", fleet_start + 2999ms));
         CPPUNIT_ASSERT(fleet.take_copy_call("a", fleet_start + 3s));
-        fleet.hold_off("a", 2s, fleet_start + 4s);
+        fleet.hold_off({"a", 5}, 2s, fleet_start + 4s);
         CPPUNIT_ASSERT(fleet.may_copy_from("a", fleet_start + 4s));
     }
 
