End the wait for a line of an engine by one time limit

An engine of the product that sends blank lines without end would have kept a generation waiting for ever, without an error to its caller: each read started the time limit of the line anew, and a read that finds bytes does not expire.

The limit holds for the whole line. Failed before: 'Expression: result.ended, row: fast' (still reading after 3 s, limit 300 ms).

--- a/Libraries/http/line_stream.cpp
+++ b/Libraries/http/line_stream.cpp
@@ -53,6 +53,10 @@
 }
 
 awaitable_result<std::string> line_stream::read_line(base::milliseconds timeout) {
+    // Blank lines are no progress.
+    auto const deadline = base::clock::now() + timeout;
+    stream_.expires_at(deadline);
+    bool received = false;
     std::array<char, read_chunk_bytes> chunk{};
     while (true) {
         auto const end = pending_.find('\n', consumed_);
@@ -76,10 +80,13 @@
 
         parser_.get().body().data = chunk.data();
         parser_.get().body().size = chunk.size();
-        stream_.expires_after(timeout);
+        // The stream does not expire between reads that find bytes.
+        if (received && base::clock::now() >= deadline)
+            co_return base::make_error(base::error_kind::io_failed, "the target sent no whole line in time");
         auto [code, read] = co_await beast_http::async_read_some(stream_, buffer_, parser_, use_tuple);
         if (code && code != beast_http::error::need_buffer)
             co_return base::make_error(base::error_kind::io_failed, code.message());
+        received = true;
         pending_.append(chunk.data(), chunk.size() - parser_.get().body().size);
     }
 }
--- a/Tests/http/endless_answers_test.cpp
+++ b/Tests/http/endless_answers_test.cpp
@@ -1,3 +1,4 @@
+#include "http/line_stream.h"
 #include "http/upstream_connection.h"
 #include "support/table_test.h"
 
@@ -92,6 +93,18 @@
     return result;
 }
 
+asio::awaitable<void> read_line(asio::io_context& context, tcp::endpoint endpoint, reading& result) {
+    http::line_stream lines{context.get_executor()};
+    http::request message{http::beast_http::verb::get, "/", http::http_version_1_1};
+    if (!co_await lines.open(endpoint, std::move(message), {}))
+        co_return;
+    auto const started = base::clock::now();
+    auto const line = co_await lines.read_line(time_limit);
+    result.failed = !line;
+    result.took = std::chrono::duration_cast<base::milliseconds>(base::clock::now() - started);
+    result.ended = true;
+}
+
 std::string const success = "HTTP/1.1 200 OK\r\n";
 std::string const chunked = success + "Transfer-Encoding: chunked\r\n\r\n";
 
@@ -114,12 +127,33 @@
     CPPUNIT_TEST_SUITE(endless_answers_test);
     CPPUNIT_TEST(answers_that_arrive_fast_end_in_time);
     CPPUNIT_TEST(answers_that_trickle_end_in_time);
+    CPPUNIT_TEST(lines_that_are_blank_end_in_time);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void answers_that_arrive_fast_end_in_time() { check(0ms); }
     void answers_that_trickle_end_in_time() { check(20ms); }
 
+    void lines_that_are_blank_end_in_time() {
+        struct row {
+            char const* name;
+            base::milliseconds pause;
+        };
+        std::vector<row> const speeds{{"fast", 0ms}, {"trickling", 20ms}};
+        endless_answer const blank{"blank lines of a body", success + "\r\n", "\n"};
+        for_each_row(speeds, [&](row const& tested) {
+            asio::io_context context;
+            tcp::acceptor acceptor{context, {asio::ip::address_v4::loopback(), 0}};
+            reading result;
+            asio::co_spawn(context, send_without_end(acceptor, blank, tested.pause), asio::detached);
+            asio::co_spawn(context, read_line(context, acceptor.local_endpoint(), result), asio::detached);
+            context.run_for(latest_end * 3);
+            CPPUNIT_ASSERT(result.ended);
+            CPPUNIT_ASSERT(result.failed);
+            CPPUNIT_ASSERT_LESS(latest_end.count(), result.took.count());
+        });
+    }
+
 private:
     static void check(base::milliseconds pause) {
         for_each_row(table, [pause](endless_answer const& tested) {
