--- a/Development/soak/caller.cpp
+++ b/Development/soak/caller.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t most_bytes = 1024UL * 1024;
 constexpr base::milliseconds longest_pause{60};
 constexpr std::uint64_t calls_per_crashing_call = 60;
+constexpr std::uint64_t orders_per_slow_order = 10;
 // A connection that has been idle for longer is not used again.
 constexpr base::milliseconds longest_idle{3200};
 // An entry in its planned stop and everything around it were undisturbed for this long.
@@ -116,7 +117,10 @@
     made.plain = is_plain(definition);
     made.bounds = bounds_of(definition);
     made.size = made.plain ? random_.below(3000) : 1 + random_.below(120);
-    made.path = definition.prefix + std::to_string(made.size);
+    made.path = definition.prefix;
+    if (kind == route::order && random_.below(orders_per_slow_order) == 0)
+        made.path += platform::standin::slow_path.substr(1);
+    made.path += std::to_string(made.size);
     ledger_.begin_call(made.request, may_run_again(definition), definition.service);
     auto const began = base::clock::now();
     auto const& process = world_.entries()[made.entry]->process;
--- a/Development/soak/fault_plan.cpp
+++ b/Development/soak/fault_plan.cpp
@@ -143,20 +143,17 @@
     auto const first = random_.below(world_.entries().size());
     auto const stops = 1 + random_.below(most_stops_in_series);
     for (std::uint64_t number = 0; number < stops; ++number) {
-        auto const stopping =
-            std::ranges::count_if(world_.entries(), [](auto const& entry) { return entry->process.ended_on_purpose; });
-        // One entry remains.
-        if (static_cast<std::size_t>(stopping) + 1 < world_.entries().size())
-            begin_stop(*world_.entries()[(first + number) % world_.entries().size()], true);
+        begin_stop(*world_.entries()[(first + number) % world_.entries().size()], true);
         if (number + 1 < stops)
             co_await pause(shortest_stop_gap, longest_stop_gap);
     }
 }
 
-asio::awaitable<void> fault_plan::stop_in_series(base::milliseconds interval, base::time_point until) {
+asio::awaitable<void> fault_plan::stop_in_series(base::milliseconds interval, bool interrupted,
+                                                 base::time_point until) {
     asio::steady_timer timer{context_};
     for (std::size_t number = 0; base::clock::now() < until; ++number) {
-        begin_stop(*world_.entries()[number % world_.entries().size()], false);
+        begin_stop(*world_.entries()[number % world_.entries().size()], interrupted);
         timer.expires_after(interval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
@@ -175,7 +172,11 @@
         process.process->send_signal(SIGHUP);
         co_await pause(20, 1500);
     }
-    if (process.ended_on_purpose || process.paused || process.life != life)
+    auto const stopping =
+        std::ranges::count_if(world_.entries(), [](auto const& other) { return other->process.ended_on_purpose; });
+    // One entry remains.
+    bool const last = static_cast<std::size_t>(stopping) + 1 >= world_.entries().size();
+    if (process.ended_on_purpose || process.paused || process.life != life || last)
         co_return;
     process.ended_on_purpose = true;
     process.stopping = true;
--- a/Development/soak/fault_plan.h
+++ b/Development/soak/fault_plan.h
@@ -26,7 +26,7 @@
     /// Repairs everything and waits until nothing that was begun is still open.
     boost::asio::awaitable<void> settle();
     /// Stops and restarts one entry after the other, whether or not the one before has ended.
-    boost::asio::awaitable<void> stop_in_series(base::milliseconds interval, base::time_point until);
+    boost::asio::awaitable<void> stop_in_series(base::milliseconds interval, bool interrupted, base::time_point until);
 
 private:
     struct action {
@@ -41,7 +41,8 @@
     boost::asio::awaitable<void> perform(action const& chosen);
     boost::asio::awaitable<void> kill_entry();
     boost::asio::awaitable<void> stop_entry();
-    /// SIGTERM, and a start when the process has ended. Signals and publications may come before the end.
+    /// SIGTERM, and a start when the process has ended, unless no other entry runs. Signals and publications may come
+    /// before the end.
     boost::asio::awaitable<void> stop_planned(entry_site& entry, bool interrupted);
     /// Stops the entry beside the caller, so that stops overlap.
     void begin_stop(entry_site& entry, bool interrupted);
--- a/Development/soak/load.cpp
+++ b/Development/soak/load.cpp
@@ -7,9 +7,10 @@
 
 std::span<load const> loads() {
     using namespace std::chrono_literals;
-    static constexpr std::array<load, 2> table{{
-        {"slow", 200, 2000ms, 0.5, {0.6, 300ms, 1500ms}, {}, 3500ms},
-        {"failing", 30, 1000ms, 1, {}, {.failed = 0.9}, 0ms},
+    static constexpr std::array<load, 3> table{{
+        {"slow", 200, 2000ms, 0.5, {0.6, 300ms, 1500ms}, {}, 3500ms, false},
+        {"interrupted", 200, 2000ms, 0.5, {0.6, 300ms, 1500ms}, {}, 1200ms, true},
+        {"failing", 30, 1000ms, 1, {}, {.failed = 0.9}, 0ms, false},
     }};
     return table;
 }
--- a/Development/soak/load.h
+++ b/Development/soak/load.h
@@ -19,6 +19,8 @@
     platform::standin::target_faults faults;
     /// From one planned stop to the next. Zero for none.
     base::milliseconds stop_interval;
+    /// Signals and publications come during the stops.
+    bool interrupted;
 };
 
 std::span<load const> loads();
--- a/Development/soak/main.cpp
+++ b/Development/soak/main.cpp
@@ -20,6 +20,7 @@
 #include <optional>
 #include <sstream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cyclamenledge::soak {
@@ -44,6 +45,8 @@
 struct seed_case {
     std::uint64_t seed{0};
     std::uint64_t seconds{0};
+    /// Empty for the fault plan.
+    std::string load{};
 };
 
 // Time for entries to learn the configuration and the targets, at the start and after the last fault.
@@ -53,6 +56,7 @@
 constexpr base::seconds judged_time{3};
 // Calls that were sent last end within it.
 constexpr base::seconds last_calls{4};
+constexpr std::string_view load_field = "load=";
 constexpr std::size_t most_printed = 20;
 constexpr double served_after_recovery = 0.99;
 // Planned operations and faults follow each other, so that planned ones are also judged undisturbed.
@@ -139,7 +143,7 @@
         }
         auto const end = base::clock::now() + base::seconds{options_.seconds};
         if (wanted.stop_interval.count() > 0)
-            co_await plan_.stop_in_series(wanted.stop_interval, end);
+            co_await plan_.stop_in_series(wanted.stop_interval, wanted.interrupted, end);
         else
             co_await pause(base::seconds{options_.seconds});
         co_await plan_.settle();
@@ -205,15 +209,19 @@
     std::vector<std::unique_ptr<caller>> callers_;
 };
 
-/// Lines of SEED SECONDS and the cause; others are comments.
+/// Lines of SEED SECONDS, load=NAME where a load was played, and the cause; others are comments.
 std::vector<seed_case> read_cases(std::string const& path) {
     std::vector<seed_case> cases;
     std::ifstream in{path};
     for (std::string line; std::getline(in, line);) {
         std::istringstream fields{line};
         seed_case read;
-        if (fields >> read.seed >> read.seconds)
-            cases.push_back(read);
+        if (!(fields >> read.seed >> read.seconds))
+            continue;
+        std::string word;
+        if (fields >> word && word.starts_with(load_field))
+            read.load = word.substr(load_field.size());
+        cases.push_back(read);
     }
     return cases;
 }
@@ -241,13 +249,14 @@
     std::vector<seed_case> cases;
     if (wanted.regressions.empty()) {
         for (std::uint64_t seed = wanted.seed; seed < wanted.seed + wanted.seeds; ++seed)
-            cases.push_back({seed, wanted.seconds});
+            cases.push_back({seed, wanted.seconds, wanted.load});
     } else {
         cases = read_cases(wanted.regressions);
     }
     std::uint64_t broken = 0;
     for (auto const& played : cases) {
         wanted.seconds = played.seconds;
+        wanted.load = played.load;
         broken += soak_run{wanted, played.seed}.run() ? 0 : 1;
     }
     std::cout << cases.size() << " seeds, " << broken << " broken" << std::endl;
