Count requests that a target refuses as meant for another one in the bound on retries

The bound counts what targets refuse too, but the stand-in told the ledger nothing of a request that named another target. The row of the ledger plays 75 retries whose first arrival was refused in that way, where 74 are permitted.

--- a/Development/soak/run_ledger.cpp
+++ b/Development/soak/run_ledger.cpp
@@ -119,7 +119,7 @@
 void run_ledger::check_time_left(std::string const& request, call_record& call,
                                  std::optional<base::milliseconds> time_left, base::time_point now) {
     auto const deadline = now + time_left.value_or(base::milliseconds{0});
-    if (call.arrivals == 1) {
+    if (call.first_arrival == base::time_point{}) {
         call.first_arrival = now;
         call.first_deadline = deadline;
     }
@@ -179,12 +179,21 @@
     auto const call = calls_.find(request);
     if (call == calls_.end())
         return;
-    auto& reached = call->second;
-    reached.last_target = target.id();
-    reached.target_broke_off = false;
-    if (++reached.arrivals > 1)
+    count_arrival(request, call->second, target, now);
+    check_time_left(request, call->second, time_left, now);
+}
+
+void run_ledger::on_mismatch(std::string const& request, platform::standin::target_standin const& target) {
+    if (auto const call = calls_.find(request); call != calls_.end())
+        count_arrival(request, call->second, target, base::clock::now());
+}
+
+void run_ledger::count_arrival(std::string const& request, call_record& call,
+                               platform::standin::target_standin const& target, base::time_point now) {
+    call.last_target = target.id();
+    call.target_broke_off = false;
+    if (++call.arrivals > 1)
         check_retry_bound(request, target.where().service, now);
-    check_time_left(request, reached, time_left, now);
 }
 
 void run_ledger::on_break_off(std::string const& request) {
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -116,6 +116,7 @@
     }
     void on_arrival(std::string const& request, platform::standin::target_standin const& target,
                     std::optional<base::milliseconds> time_left) override;
+    void on_mismatch(std::string const& request, platform::standin::target_standin const& target) override;
     void on_run(std::string const& request, platform::standin::target_standin const& target, bool continued) override;
     void on_run_complete(std::string const& request) override;
     void on_break_off(std::string const& request) override;
@@ -210,6 +211,8 @@
     void check_loss(std::string const& request, call_record const& call, base::time_point ended);
     void check_time_left(std::string const& request, call_record& call, std::optional<base::milliseconds> time_left,
                          base::time_point now);
+    void count_arrival(std::string const& request, call_record& call, platform::standin::target_standin const& target,
+                       base::time_point now);
     void check_attempts(std::string const& request, call_record& call, base::time_point now);
     void record_cut(std::string const& request, call_record const& call, base::time_point at);
     void check_crashing_run(call_record const& call, base::time_point now);
--- a/Tests/soak/run_ledger_test.cpp
+++ b/Tests/soak/run_ledger_test.cpp
@@ -350,6 +350,16 @@
                  }
              },
              false},
+            {"retries beyond the bound that targets refuse because they are for others",
+             [](world& played) {
+                 for (int number = 0; number < 100; ++number) {
+                     played.ledger.begin_call(std::to_string(number), true, "orders");
+                     played.ledger.on_mismatch(std::to_string(number), played.target);
+                     if (number < 75)
+                         played.ledger.on_arrival(std::to_string(number), played.other, {});
+                 }
+             },
+             true},
             {"nobody sent it", [](world& played) { played.run("a"); }, true},
             {"at a target that left",
              [](world& played) {
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -176,6 +176,7 @@
         co_return;
     }
     if (auto const expected = header(received, "X-Expect-Instance"); !expected.empty() && expected != id_) {
+        observer_.on_mismatch(request, *this);
         auto answer = not_run(421, request);
         add_leaving(answer, {});
         std::ignore = co_await client->send(std::move(answer));
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -32,6 +32,8 @@
     /// A request reached the target, which may still refuse it. Its caller waits for the time that is handed on.
     virtual void on_arrival(std::string const& /*request*/, target_standin const& /*target*/,
                             std::optional<base::milliseconds> /*time_left*/) {}
+    /// A request for another target reached this one, which refused it.
+    virtual void on_mismatch(std::string const& /*request*/, target_standin const& /*target*/) {}
     /// A request was accepted. A continued one goes on from the memory of an earlier run.
     virtual void on_run(std::string const& request, target_standin const& target, bool continued) = 0;
     /// The target has made its whole answer.
