Play failing reads under the fault plan, and judge 408 and 421 as refusals

The load harmed has the fault plan at work beside failing reads and interrupted stops, because the bound on retries holds under faults too. An answer with status 408 or 421 states that the request has not run, as 429 and 503 do, and is now held against that statement.

--- a/Development/soak/caller.cpp
+++ b/Development/soak/caller.cpp
@@ -48,8 +48,9 @@
             base::milliseconds{route.timeout_milliseconds}, route.maximum_attempts};
 }
 
+/// Whether the status states that the request has not run and never will.
 bool refused(unsigned status) {
-    return status == 429 || status == 503;
+    return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
 } // namespace
--- a/Development/soak/fault_plan.cpp
+++ b/Development/soak/fault_plan.cpp
@@ -292,7 +292,7 @@
                                                                             {.stalled = 0.3}}};
     site.target->set_faults(kinds.at(random_.below(kinds.size())));
     co_await pause(500, 3000);
-    site.target->set_faults({});
+    site.target->set_faults(site.usual);
 }
 
 asio::awaitable<void> fault_plan::harm_store() {
--- a/Development/soak/fleet.cpp
+++ b/Development/soak/fleet.cpp
@@ -291,7 +291,7 @@
     }
     for (auto const& site : targets_) {
         site->proxy->set_mode(proxy_mode::pass);
-        site->target->set_faults({});
+        site->target->set_faults(site->usual);
         name_limit(*site, {});
         if (site->agent.process) {
             site->agent_proxy->set_mode(proxy_mode::pass);
--- a/Development/soak/fleet.h
+++ b/Development/soak/fleet.h
@@ -64,6 +64,8 @@
     /// Only beside engines.
     daemon agent;
     std::unique_ptr<fault_proxy> agent_proxy;
+    /// Faults of the target while nothing else harms it.
+    platform::standin::target_faults usual;
 };
 
 /// The programs, the stand-ins of the platform and the proxies between them, on loopback.
--- a/Development/soak/load.h
+++ b/Development/soak/load.h
@@ -9,7 +9,7 @@
 
 namespace cyclamenledge::soak {
 
-/// Plain calls and planned stops of entries in series, without faults.
+/// Plain calls and planned stops of entries in series.
 struct load {
     char const* name;
     std::size_t callers;
@@ -21,6 +21,8 @@
     base::milliseconds stop_interval;
     /// Signals and publications come during the stops.
     bool interrupted;
+    /// The fault plan is at work beside it.
+    bool harmed;
 };
 
 std::span<load const> loads();
--- a/Development/soak/main.cpp
+++ b/Development/soak/main.cpp
@@ -133,7 +133,8 @@
         for (auto const& site : fleet_.targets()) {
             site->target->set_slow_calls(wanted.slow);
             if (!site->target->where().engine)
-                site->target->set_faults(wanted.faults);
+                site->usual = wanted.faults;
+            site->target->set_faults(site->usual);
         }
         co_await pause(start_time);
         asio::co_spawn(context_, watch_daemons(), asio::detached);
@@ -142,6 +143,8 @@
             asio::co_spawn(context_, callers_.back()->run_load(wanted, stop_), asio::detached);
         }
         auto const end = base::clock::now() + base::seconds{options_.seconds};
+        if (wanted.harmed)
+            asio::co_spawn(context_, plan_.run(base::seconds{options_.seconds}, true), asio::detached);
         if (wanted.stop_interval.count() > 0)
             co_await plan_.stop_in_series(wanted.stop_interval, wanted.interrupted, end);
         else
