End a stopping process only when its callers' connections have ended

What callers saw: a request that was arriving when its process ended got a reset instead of an answer, and an answer sent shortly before the end could be lost to the reset of its connection.

Cause: run_drain ended the process 0.1 s after the count of open requests was 0 at one look. Requests that were read only in part, connections on which an answer was on its way, and refusals were not counted.

After the last request has ended, every later one is refused. run_drain now also ends the sessions that wait for their first request, and waits until all sessions have ended, for at most 1.5 s and never beyond the limit of the stop.

--- a/Libraries/forwarding_entry/forwarding_entry_role.h
+++ b/Libraries/forwarding_entry/forwarding_entry_role.h
@@ -33,6 +33,8 @@
 
     base::result<void> start() override;
     void stop_accepting() override;
+    void end_sessions() override { caller_server_.end_sessions(); }
+    std::uint32_t open_sessions() const override { return caller_server_.open_sessions(); }
     bool able_to_serve() const override;
     /// Does nothing: the routes of this role come from the metadata store.
     base::result<void> apply_catalogue(catalogue::catalogue_pointer const&) override { return base::success(); }
--- a/Libraries/membership/drain_controller.cpp
+++ b/Libraries/membership/drain_controller.cpp
@@ -48,14 +48,18 @@
     return open_requests_ > 0 ? drain_state::refusing : drain_state::drained;
 }
 
+std::optional<base::time_point> drain_controller::aborts_at() const {
+    if (!drain_started_ || !settings_.drain_limit)
+        return std::nullopt;
+    return *drain_started_ + *settings_.drain_limit;
+}
+
 std::optional<base::time_point> drain_controller::next_change(base::time_point now) const {
     switch (state(now)) {
     case drain_state::unready:
         return *drain_started_ + settings_.drain_accept;
     case drain_state::refusing:
-        if (settings_.drain_limit)
-            return *drain_started_ + *settings_.drain_limit;
-        return std::nullopt;
+        return aborts_at();
     case drain_state::running:
     case drain_state::drained:
         return std::nullopt;
--- a/Libraries/membership/drain_controller.h
+++ b/Libraries/membership/drain_controller.h
@@ -40,6 +40,8 @@
     /// The result of /readyz.
     bool ready(base::time_point now) const { return state(now) == drain_state::running; }
     bool accepts_connections(base::time_point now) const { return state(now) < drain_state::refusing; }
+    /// When open requests are aborted. No value without a drain or a limit.
+    std::optional<base::time_point> aborts_at() const;
     /// The next time at which state() may change without another call.
     std::optional<base::time_point> next_change(base::time_point now) const;
 
--- a/Libraries/process/role.h
+++ b/Libraries/process/role.h
@@ -6,6 +6,7 @@
 
 #include <boost/json/object.hpp>
 
+#include <cstdint>
 #include <string_view>
 
 namespace cyclamenledge::process {
@@ -22,6 +23,10 @@
     virtual base::result<void> start() = 0;
     /// Refuses new connections from now on. Called during a drain.
     virtual void stop_accepting() = 0;
+    /// Ends the connections of callers that wait for a request. Called once every request has ended.
+    virtual void end_sessions() {}
+    /// Number of connections of callers that have not ended.
+    virtual std::uint32_t open_sessions() const { return 0; }
     /// Whether the role can serve requests. False, for example, without a catalogue.
     virtual bool able_to_serve() const = 0;
     /// Activates a newer catalogue. Calls don't overlap and are made outside the event loop, because building the
--- a/Libraries/process/runtime.cpp
+++ b/Libraries/process/runtime.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 #include <utility>
@@ -25,6 +26,8 @@
 constexpr base::milliseconds drain_poll_interval{20};
 // Time to send the remaining bytes and frames after the last request has ended.
 constexpr base::milliseconds flush_delay{100};
+// Longest time after the last request in which the callers' connections are closed.
+constexpr base::milliseconds longest_session_end{1500};
 
 membership::drain_settings drain_settings_of(settings::process_settings const& settings) {
     membership::drain_settings result;
@@ -78,6 +81,11 @@
     return drain_.state(base::clock::now());
 }
 
+std::optional<base::time_point> runtime::aborts_at() const {
+    std::scoped_lock const lock{drain_mutex_};
+    return drain_.aborts_at();
+}
+
 boost::json::object runtime::state() const {
     boost::json::object dump;
     for (auto const& [name, part] : state_parts_)
@@ -85,10 +93,10 @@
     return dump;
 }
 
-void runtime::run(std::function<void()> on_refusing_connections) {
+void runtime::run(drain_steps steps) {
     auto const work = asio::make_work_guard(context_);
     asio::co_spawn(context_, ignore_reload_signals(), asio::detached);
-    asio::co_spawn(context_, run_drain(std::move(on_refusing_connections)), asio::detached);
+    asio::co_spawn(context_, run_drain(std::move(steps)), asio::detached);
     std::vector<std::jthread> workers;
     for (std::uint32_t index = 1; index < settings_.threads; ++index)
         workers.emplace_back([this] { context_.run(); });
@@ -105,7 +113,7 @@
     }
 }
 
-asio::awaitable<void> runtime::run_drain(std::function<void()> on_refusing_connections) {
+asio::awaitable<void> runtime::run_drain(drain_steps steps) {
     co_await signals_.async_wait(asio::use_awaitable);
     log::write(log::event_kind::process_draining, {{"open_requests", open_requests()}});
     {
@@ -118,17 +126,31 @@
         auto const state = drain_state();
         if (state >= membership::drain_state::refusing && !refusing) {
             refusing = true;
-            on_refusing_connections();
+            steps.refuse_connections();
         }
         if (state == membership::drain_state::drained)
             break;
         timer.expires_after(drain_poll_interval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    timer.expires_after(flush_delay);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await finish_sessions(std::move(steps));
     log::write(log::event_kind::process_drained, {{"open_requests", open_requests()}});
     context_.stop();
 }
 
+// From here on every request is refused. A connection that ends with the process would lose its refusal.
+asio::awaitable<void> runtime::finish_sessions(drain_steps steps) {
+    steps.end_sessions();
+    auto const now = base::clock::now();
+    auto latest = now + longest_session_end;
+    if (auto const limit = aborts_at())
+        latest = std::min(latest, std::max(now, *limit) + flush_delay);
+    asio::steady_timer timer{context_, flush_delay};
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    while (steps.open_sessions() > 0 && base::clock::now() < latest) {
+        timer.expires_after(drain_poll_interval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
 } // namespace cyclamenledge::process
--- a/Libraries/process/runtime.h
+++ b/Libraries/process/runtime.h
@@ -18,12 +18,22 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace cyclamenledge::process {
 
+/// What a drain does with the connections of callers.
+struct drain_steps {
+    std::function<void()> refuse_connections;
+    /// Ends the connections that wait for a request.
+    std::function<void()> end_sessions;
+    /// Number of connections that have not ended.
+    std::function<std::uint32_t()> open_sessions;
+};
+
 /// Services that every daemon has: the event loop and its threads, settings, identity, metrics and the graceful
 /// shutdown.
 class runtime {
@@ -55,15 +65,19 @@
     std::uint64_t open_requests() const;
     membership::drain_state drain_state() const;
 
-    /// Runs the event loop until the process has drained. Calls the function when the drain begins to refuse
-    /// connections.
-    void run(std::function<void()> on_refusing_connections);
+    /// When open requests are aborted. No value unless the process drains and has a limit for that.
+    std::optional<base::time_point> aborts_at() const;
+
+    /// Runs the event loop until the process has drained.
+    void run(drain_steps steps);
 
 private:
     runtime(settings::process_settings settings, wire::authenticator authenticator);
 
     boost::asio::awaitable<void> ignore_reload_signals();
-    boost::asio::awaitable<void> run_drain(std::function<void()> on_refusing_connections);
+    boost::asio::awaitable<void> run_drain(drain_steps steps);
+    /// Waits until the callers' connections have ended, within limits.
+    boost::asio::awaitable<void> finish_sessions(drain_steps steps);
 
     settings::process_settings settings_;
     wire::authenticator authenticator_;
--- a/Services/cyclamenledged/main.cpp
+++ b/Services/cyclamenledged/main.cpp
@@ -36,7 +36,8 @@
 void run_until_stopped(process::runtime& daemon, process::role& served) {
     log::write(log::event_kind::process_started,
                {{"incarnation", daemon.identity().incarnation}, {"threads", daemon.settings().threads}});
-    daemon.run([&served] { served.stop_accepting(); });
+    daemon.run({[&served] { served.stop_accepting(); }, [&served] { served.end_sessions(); },
+                [&served] { return served.open_sessions(); }});
 }
 
 /// Roles that follow the catalogue; the forwarding roles learn everything from the metadata store.
--- a/Tests/membership/membership_test.cpp
+++ b/Tests/membership/membership_test.cpp
@@ -306,7 +306,11 @@
         });
         drain_controller limited{{.drain_limit = seconds{9}}};
         limited.begin_request(at(0));
+        CPPUNIT_ASSERT(!limited.aborts_at());
         limited.start_drain(at(0));
+        limited.start_drain(at(3));
+        CPPUNIT_ASSERT(limited.aborts_at() == at(9));
+        CPPUNIT_ASSERT(!drain_controller{}.aborts_at());
         CPPUNIT_ASSERT(limited.next_change(at(6)) == at(9));
         CPPUNIT_ASSERT(limited.state(at(9)) == drain_state::drained);
     }
