Answer every call that a stopping entry takes before the entry ends

What callers saw: a plain call that arrived in the last seconds of a stop, which a stream had prolonged, was passed on and cut off without an answer when the stop reached its limit.

Cause: the call's deadline was its own, later than the end of the process.

A plain call that arrives during a stop now has the end of the stop less 0.2 s as its latest deadline. If the time until then is shorter than its route's latency objective, it is refused with Retry-After before it is sent.

--- a/Libraries/forwarding_entry/forwarder.cpp
+++ b/Libraries/forwarding_entry/forwarder.cpp
@@ -102,6 +102,20 @@
     return request;
 }
 
+bool forwarder::limit_to_stop(request_context& request) const {
+    auto const aborts_at = daemon_.aborts_at();
+    if (!aborts_at || *aborts_at - stop_answer_reserve >= request.deadline)
+        return true;
+    request.deadline = *aborts_at - stop_answer_reserve;
+    return base::clock::now() + request.route->latency_objective < request.deadline;
+}
+
+asio::awaitable<void> forwarder::refuse_leaving(http::session_pointer client, std::string request) {
+    log::write(log::event_kind::request_refused, {{"request", request}, {"reason", "leaving"}});
+    auto const leaving = base::make_error(base::error_kind::leaving, "this process stops", retry_delay);
+    std::ignore = co_await client->send(make_error_answer(leaving));
+}
+
 asio::awaitable<void> forwarder::handle(http::session_pointer client, http::request received) {
     parts_.metrics.add(metrics::counter_kind::requests);
     // Counted from the start, so that the process does not end before the answer is sent.
@@ -131,14 +145,17 @@
     }
     // A stream can last longer than the rest of the drain, so none is started.
     bool const refuses_streams = daemon_.drain_state() >= membership::drain_state::refusing;
-    if (!guard || (refuses_streams && forwarding::is_stream(request.route->kind))) {
-        log::write(log::event_kind::request_refused, {{"request", request.caller.id}, {"reason", "leaving"}});
-        auto const leaving = base::make_error(base::error_kind::leaving, "this process stops", retry_delay);
-        std::ignore = co_await client->send(make_error_answer(leaving));
+    bool const is_stream = forwarding::is_stream(request.route->kind);
+    if (!guard || (refuses_streams && is_stream)) {
+        co_await refuse_leaving(client, request.caller.id);
+        co_return;
+    }
+    if (!is_stream && !limit_to_stop(request)) {
+        co_await refuse_leaving(client, request.caller.id);
         co_return;
     }
     cut_off_notice notice{request.caller.id};
-    if (forwarding::is_stream(request.route->kind)) {
+    if (is_stream) {
         boost::intrusive_ptr<stream_exchange> const exchange{new stream_exchange{parts_, std::move(request)}};
         co_await exchange->run();
     } else {
--- a/Libraries/forwarding_entry/forwarder.h
+++ b/Libraries/forwarding_entry/forwarder.h
@@ -20,9 +20,16 @@
 
     boost::asio::awaitable<void> handle(http::session_pointer client, http::request received) override;
 
+    /// Time before the end of a planned stop in which no request is served, so that final answers can be sent.
+    static constexpr base::milliseconds stop_answer_reserve{200};
+
 private:
     base::result<request_context> prepare(http::session_pointer const& client, http::request received);
     base::error refuse_unknown(base::error_kind kind, std::string message) const;
+    /// Moves the deadline of a call to the end of a planned stop, so that its answer is sent before. Returns false if
+    /// the time that is left is shorter than the route's latency objective.
+    bool limit_to_stop(request_context& request) const;
+    boost::asio::awaitable<void> refuse_leaving(http::session_pointer client, std::string request);
     std::string const& choose_service(forwarding::route const& route);
 
     process::runtime& daemon_;
