Refuse what waits in the queue of an entry before a planned stop ends

What callers saw: a request that waited for room was sent to an engine up to the last moment of a stop, where its stream was broken off at once, or it would have ended without an answer.

Cause: waiting was bounded by the request's own times only.

--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -113,6 +113,8 @@
 
 void forwarding_entry_role::stop_accepting() {
     caller_server_.stop_accepting();
+    if (auto const aborts_at = daemon_.aborts_at())
+        placements_.set_queue_end(*aborts_at - forwarder::stop_answer_reserve);
 }
 
 bool forwarding_entry_role::able_to_serve() const {
--- a/Libraries/forwarding_entry/placement_controller.cpp
+++ b/Libraries/forwarding_entry/placement_controller.cpp
@@ -166,6 +166,7 @@
 
 asio::awaitable<base::result<std::string>> placement_controller::wait_in_queue(placement_need& need,
                                                                                std::uint64_t number) {
+    need.give_up_at = std::min(need.give_up_at, queue_end_);
     queued_request self{context_, need};
     queued_[number] = &self;
     while (true) {
@@ -218,6 +219,14 @@
                    {{"target", target}, {"open_requests", view->open_requests}});
 }
 
+void placement_controller::set_queue_end(base::time_point end) {
+    queue_end_ = end;
+    for (auto const& [number, queued] : queued_) {
+        queued->need->give_up_at = std::min(queued->need->give_up_at, end);
+        queued->timer.cancel();
+    }
+}
+
 void placement_controller::on_capacity_change() {
     if (queued_.empty())
         return;
--- a/Libraries/forwarding_entry/placement_controller.h
+++ b/Libraries/forwarding_entry/placement_controller.h
@@ -43,6 +43,9 @@
     /// Updates the target's health with the outcome of a request.
     void record_outcome(std::string const& target, forwarding::target_outcome outcome);
 
+    /// No request waits in the queue beyond this time.
+    void set_queue_end(base::time_point end);
+
     /// Tries queued requests again, because a target may have room now.
     void on_capacity_change();
 
@@ -90,6 +93,7 @@
     std::map<std::string, forwarding::return_schedule, std::less<>> return_schedules_;
     std::map<std::uint64_t, queued_request*> queued_;
     std::uint64_t next_number_{1};
+    base::time_point queue_end_{base::time_point::max()};
 };
 
 } // namespace cyclamenledge::forwarding_entry
--- a/Tests/process/planned_stop/planned_stop_test.cpp
+++ b/Tests/process/planned_stop/planned_stop_test.cpp
@@ -8,11 +8,14 @@
 #include <boost/beast/http/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <csignal>
+#include <deque>
 #include <set>
 #include <sstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace cyclamenledge::tests::process {
 
@@ -176,6 +179,7 @@
     CPPUNIT_TEST(late_calls_on_accepted_connections_are_answered);
     CPPUNIT_TEST(idle_kept_connections_are_closed_before_the_process_ends);
     CPPUNIT_TEST(request_that_arrives_while_the_process_ends_is_refused);
+    CPPUNIT_TEST(queued_requests_are_refused_before_the_process_ends);
     CPPUNIT_TEST(signals_and_configurations_cut_no_call_off);
     CPPUNIT_TEST(process_without_targets_stops);
     CPPUNIT_TEST_SUITE_END();
@@ -230,6 +234,32 @@
         CPPUNIT_ASSERT_EQUAL(0, entry_of(world).wait_for_exit().value_or(-1));
     }
 
+    void queued_requests_are_refused_before_the_process_ends() {
+        platform_world world{{.entries = 1, .engines = 1, .services = 1}};
+        std::deque<caller_connection> callers;
+        auto const send_streams = [&](std::string const& name, int count) {
+            for (int number = 0; number < count; ++number) {
+                callers.emplace_back(world);
+                callers.back().send(name + std::to_string(number), "/gen/600", 1000);
+            }
+        };
+        // They fill the engine until the process ends.
+        send_streams("filling-", 40);
+        std::this_thread::sleep_for(500ms);
+        stop_entry(world);
+        std::this_thread::sleep_for(last_connection - 200ms);
+        send_streams("queued-", 10);
+        std::vector<unsigned> statuses;
+        for (auto& caller : callers) {
+            statuses.push_back(caller.read_head());
+            CPPUNIT_ASSERT_EQUAL(statuses.back() == 503, !caller.return_time().empty());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, std::ranges::count(statuses, 0U));
+        // Otherwise no request was queued.
+        CPPUNIT_ASSERT(std::ranges::count(statuses, 503U) > 0);
+        CPPUNIT_ASSERT_EQUAL(0, entry_of(world).wait_for_exit().value_or(-1));
+    }
+
     void signals_and_configurations_cut_no_call_off() {
         for_each_row(events, [](event_row const& row) {
             platform_world world{one_entry};
