--- a/Libraries/http/session.cpp
+++ b/Libraries/http/session.cpp
@@ -13,6 +13,7 @@
 
 #include <cerrno>
 #include <sys/socket.h>
+#include <tuple>
 #include <utility>
 
 namespace cyclamenledge::http {
@@ -69,6 +70,10 @@
         if (!first)
             stream_.expires_after(limits_.idle_timeout);
         auto [code, count] = co_await stream_.async_read_some(buffer_.prepare(1), use_tuple);
+        // A request that had begun to arrive when the wait was cancelled is served.
+        beast::error_code ignored;
+        if (code == asio::error::operation_aborted && ending_ && stream_.socket().available(ignored) > 0)
+            std::tie(code, count) = co_await stream_.async_read_some(buffer_.prepare(1), use_tuple);
         if (code && end_read_limit())
             co_return read_error(beast::error::timeout);
         if (code)
--- a/Libraries/process/runtime.cpp
+++ b/Libraries/process/runtime.cpp
@@ -50,11 +50,11 @@
     , identity_{settings_.name, base::random_seed(), static_cast<std::uint8_t>(settings_.role),
                 settings_.failure_domain}
     , started_wall_(std::chrono::floor<base::milliseconds>(std::chrono::system_clock::now()))
+    , drain_(drain_settings_of(settings_))
     , context_(static_cast<int>(settings_.threads))
     , hub_(context_, authenticator_, identity_, metrics_)
     , signals_(context_, SIGTERM, SIGINT)
-    , reload_signals_(context_, SIGHUP)
-    , drain_(drain_settings_of(settings_)) {}
+    , reload_signals_(context_, SIGHUP) {}
 
 bool runtime::begin_request() {
     std::scoped_lock const lock{drain_mutex_};
--- a/Libraries/process/runtime.h
+++ b/Libraries/process/runtime.h
@@ -85,15 +85,16 @@
     metrics::registry metrics_;
     base::time_point started_at_{base::clock::now()};
     base::wall_time started_wall_;
+    // Declared before the event loop, whose coroutines end requests when it is destroyed.
+    // Leaf lock: no other lock is taken while it is held.
+    mutable std::mutex drain_mutex_;
+    membership::drain_controller drain_;
     boost::asio::io_context context_;
     link::hub hub_;
     blackboard board_;
     std::vector<std::pair<std::string, std::function<boost::json::object()>>> state_parts_;
     boost::asio::signal_set signals_;
     boost::asio::signal_set reload_signals_;
-    // Leaf lock: no other lock is taken while it is held.
-    mutable std::mutex drain_mutex_;
-    membership::drain_controller drain_;
 };
 
 /// Calls end_request() when it goes out of scope.
