--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -764,7 +764,7 @@
     platform::copy_result copied;
     if (connected && parts_.board.fleet.take_copy_call(source->target, base::clock::now())) {
         platform::copy_command command{request_.caller.id, destination, false};
-        auto on_notices = parts_.notices.make_handler(source->target, request_.caller.id);
+        auto on_notices = parts_.notices.make_handler({source->target, source->target_started_at}, request_.caller.id);
         copied =
             co_await platform::copy_memory(*connected.value(), std::move(command), copy_timeout, std::move(on_notices));
         parts_.connections.release(source->address, connected.value(), {});
