--- a/CMake/library.cmake
+++ b/CMake/library.cmake
@@ -14,4 +14,8 @@
     target_link_libraries(test_${NAME} PRIVATE cyclamenledge_test_support ${ARGN})
     add_test(NAME ${NAME} COMMAND test_${NAME})
     set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
+    # Tests with real processes take longest, so they start first.
+    if(NAME MATCHES "^process_")
+        set_tests_properties(${NAME} PROPERTIES COST 100)
+    endif()
 endfunction()
