--- a/Development/soak/run_ledger.cpp
+++ b/Development/soak/run_ledger.cpp
@@ -218,7 +218,9 @@
 }
 
 void run_ledger::check_notices(std::string const& request, std::string const& target_id, base::time_point now) {
-    auto const calm_from = disturbances_ > 0 ? now : disturbed_until_;
+    // Faults of targets and agents excuse nothing.
+    auto const& disturbed = disturbances_[fault_reach::entries];
+    auto const calm_from = disturbed.open > 0 ? now : disturbed.until;
     if (auto broken = notices_.on_arrival(request, target_id, now, calm_from))
         violation(std::move(*broken));
 }
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -25,6 +25,7 @@
 constexpr std::uint32_t copied_tokens_per_millisecond = 18;
 constexpr std::uint32_t tokens_per_event = 4;
 constexpr base::milliseconds event_interval{25};
+constexpr base::milliseconds longest_call{25};
 // Time that a call takes whose path says so.
 constexpr base::milliseconds slow_call{1000};
 constexpr base::milliseconds stalled_byte_interval{200};
