--- a/Tests/process/planned_stop/planned_stop_test.cpp
+++ b/Tests/process/planned_stop/planned_stop_test.cpp
@@ -25,7 +25,10 @@
 namespace asio = boost::asio;
 namespace beast_http = boost::beast::http;
 
-constexpr soak::fleet_size one_entry{.entries = 1, .engines = 2, .services = 2};
+soak::fleet_size one_entry() {
+    return {.entries = 1, .engines = 2, .services = 2};
+}
+
 // The entry refuses connections 2.5 s after the signal.
 constexpr auto last_connection = 2300ms;
 constexpr std::uint32_t caller_patience_milliseconds = 12000;
@@ -187,7 +190,7 @@
 public:
     void late_calls_on_accepted_connections_are_answered() {
         for_each_row(late_calls, [](late_call_row const& row) {
-            platform_world world{one_entry};
+            platform_world world{one_entry()};
             long_stream const stream{world};
             stop_entry(world);
             std::this_thread::sleep_for(last_connection);
@@ -204,7 +207,7 @@
     }
 
     void idle_kept_connections_are_closed_before_the_process_ends() {
-        platform_world world{one_entry};
+        platform_world world{one_entry()};
         long_stream const stream{world};
         caller_connection idle{world};
         caller_connection busy{world};
@@ -222,7 +225,7 @@
     }
 
     void request_that_arrives_while_the_process_ends_is_refused() {
-        platform_world world{one_entry};
+        platform_world world{one_entry()};
         stop_entry(world);
         std::this_thread::sleep_for(last_connection);
         caller_connection caller{world};
@@ -262,7 +265,7 @@
 
     void signals_and_configurations_cut_no_call_off() {
         for_each_row(events, [](event_row const& row) {
-            platform_world world{one_entry};
+            platform_world world{one_entry()};
             caller_connection early{world};
             caller_connection late{world};
             row.before(world);
@@ -278,7 +281,7 @@
     }
 
     void process_without_targets_stops() {
-        platform_world world{one_entry};
+        platform_world world{one_entry()};
         world.act([&] {
             world.fleet().entries().front()->process.process->kill();
             world.fleet().store().set_mode(platform::standin::store_mode::silent);
