--- a/Development/soak/main.cpp
+++ b/Development/soak/main.cpp
@@ -159,8 +159,18 @@
         std::cout << "  largest use of the bound on retries: " << ledger_.largest_retry_use() << "\n  by status:";
         for (auto const& [status, count] : ledger_.statuses())
             std::cout << ' ' << (status == 0 ? "none" : std::to_string(status)) << ' ' << count;
-        std::cout << "\n  plain calls passed on and cut off without an answer: " << ledger_.cut_calls().size() << '\n';
-        for (auto const& cut : ledger_.cut_calls()) {
+        std::cout << '\n';
+        print_cuts(true, "passed on and cut off without an answer");
+        print_cuts(false, "cut off before a target received them");
+    }
+
+    void print_cuts(bool passed_on, char const* text) const {
+        auto const& cuts = ledger_.cut_calls();
+        std::cout << "  plain calls " << text << ": " << std::ranges::count(cuts, passed_on, &cut_call::passed_on)
+                  << '\n';
+        for (auto const& cut : cuts) {
+            if (cut.passed_on != passed_on)
+                continue;
             std::cout << "    " << cut.request << " at entry " << cut.entry << " over a " << (cut.kept ? "kept" : "new")
                       << " connection, cut " << cut.lasted.count() << " ms after it was sent";
             if (cut.sent_after_stop)
--- a/Development/soak/run_ledger.cpp
+++ b/Development/soak/run_ledger.cpp
@@ -56,11 +56,10 @@
     auto& call = calls_[request];
     call.ended = true;
     call.end = end;
-    if (end == call_end::broken && call.sent && call.arrivals > 0) {
+    if (end == call_end::broken && call.sent && call.arrivals > 0)
         check_loss(request, call, at);
-        if (call.sent->plain)
-            record_cut(request, call, at);
-    }
+    if (end == call_end::broken && call.sent && call.sent->plain)
+        record_cut(request, call, at);
     if (end == call_end::refused && !call.may_run_again && call.runs > 0)
         violation("refused after it ran: " + request);
 }
@@ -68,7 +67,7 @@
 void run_ledger::record_cut(std::string const& request, call_record const& call, base::time_point at) {
     auto const length = [](base::duration time) { return std::chrono::duration_cast<base::milliseconds>(time); };
     auto const& sent = *call.sent;
-    cut_call cut{request, sent.entry, sent.kept, length(at - sent.at), {}};
+    cut_call cut{request, call.arrivals > 0, sent.entry, sent.kept, length(at - sent.at), {}};
     if (auto const stop = stop_before(sent.entry, at))
         cut.sent_after_stop = length(sent.at - *stop);
     cut_calls_.push_back(std::move(cut));
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -81,9 +81,11 @@
     bool beyond_attempts{false};
 };
 
-/// A plain call that an entry passed on and cut off without an answer.
+/// A plain call that an entry cut off without an answer.
 struct cut_call {
     std::string request;
+    /// A target has received it.
+    bool passed_on{false};
     std::size_t entry{0};
     bool kept{false};
     base::milliseconds lasted{0};
