--- a/Tests/process/endless_answers/endless_answers_test.cpp
+++ b/Tests/process/endless_answers/endless_answers_test.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <future>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -106,7 +107,7 @@
     }
 
 private:
-    static void set_endless(platform_world& world, bool engines, std::string const& repeated) {
+    static void set_endless(platform_world& world, bool engines, std::string_view repeated) {
         world.act([&] {
             for (auto const& site : world.fleet().targets()) {
                 if (site->target->where().engine == engines)
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -70,8 +70,8 @@
     double copy_refused{0};
     /// Pauses for two seconds before its second event and then goes on.
     double paused{0};
-    /// Repeated without end as the body of each answer, unless empty.
-    std::string endless{};
+    /// Repeated without end as the body of each answer, unless empty. The text must outlive the fault.
+    std::string_view endless{};
 };
 
 /// Plain calls that take longer than the others.
