--- a/Tests/forwarding/target_notices_test.cpp
+++ b/Tests/forwarding/target_notices_test.cpp
@@ -209,7 +209,7 @@
         }
         copy_request const wanted{generation(), "source", 4000, 0.97, copy_span::other_region};
         CPPUNIT_ASSERT_EQUAL(std::string{"a"}, fleet.choose_copy_holder(wanted, fleet_start).target);
-        fleet.hold_off({"a", 5}, 1s, fleet_start);
+        fleet.hold_off({"a", 0}, 1s, fleet_start);
         CPPUNIT_ASSERT(fleet.choose_copy_holder(wanted, fleet_start).kind == placement_kind::none);
         CPPUNIT_ASSERT_EQUAL(std::string{"a"}, fleet.choose_copy_holder(wanted, fleet_start + 1s).target);
     }
