--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -261,12 +261,14 @@
     context.organisation = request_.organisation == nullptr ? "" : request_.organisation->name;
     auto const message = platform::encode_forwarded(request_.received, context);
     attempt_pointer const current{new running_attempt{parts_.context, target}};
+    // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
+    forwarding::target_incarnation incarnation{target, started_at};
     asio::co_spawn(parts_.context, replace_when_slow(self_pointer{this}, current), asio::detached);
     send_result result;
     if (auto const sent = co_await connection_->send(message, request_.time_left(base::clock::now())); !sent)
         result = make_unknown_result(sent.error());
     else
-        result = co_await read_answer({target, started_at}, address, connection_);
+        result = co_await read_answer(std::move(incarnation), address, connection_);
     current->ended = true;
     current->timer.cancel();
     if (successor_ && result.outcome == send_outcome::unknown)
