--- a/Libraries/forwarding/request_fingerprint.h
+++ b/Libraries/forwarding/request_fingerprint.h
@@ -13,4 +13,9 @@
     return base::hash_text(body, base::hash_text(path, base::hash_text(organisation)));
 }
 
+/// Identifies a part of a prompt, whichever organisation sends it.
+inline std::uint64_t prompt_part_fingerprint(std::string_view id) {
+    return base::hash_text(id, base::hash_text("prompt part"));
+}
+
 } // namespace cyclamenledge::forwarding
--- a/Libraries/forwarding_entry/crash_detector.cpp
+++ b/Libraries/forwarding_entry/crash_detector.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 asio::awaitable<void> crash_detector::examine(std::string target, lost_run run) {
-    auto const fingerprint = run.fingerprint;
+    auto const fingerprint = run.content.fingerprint;
     auto const [found, inserted] = examinations_.try_emplace(target, context_);
     auto& examined = found->second;
     examined.runs.push_back(std::move(run));
@@ -56,10 +56,13 @@
         co_return;
     auto const now = base::clock::now();
     for (auto const& run : concluded.mapped().runs) {
-        log::write(log::event_kind::target_crashed,
-                   {{"request", run.request}, {"fingerprint", run.fingerprint}, {"target", target}});
+        log::write(log::event_kind::target_crashed, {{"request", run.request},
+                                                     {"fingerprint", run.content.fingerprint},
+                                                     {"target", target},
+                                                     {"parts", run.content.describe_parts()},
+                                                     {"events", run.events}});
         // A target that starts again under its id counts as another one.
-        suspects_.on_crash({run.fingerprint, target + "@" + std::to_string(lost.started_at),
+        suspects_.on_crash({run.content.fingerprint, target + "@" + std::to_string(lost.started_at),
                             static_cast<std::uint64_t>(lost.started_at),
                             std::chrono::duration_cast<base::milliseconds>(now - run.lost_at),
                             std::chrono::duration_cast<base::milliseconds>(run.lost_at - run.sent_at)});
--- a/Libraries/forwarding_entry/crash_detector.h
+++ b/Libraries/forwarding_entry/crash_detector.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "forwarding_entry/blackboard.h"
+#include "poison/request_content.h"
 #include "poison_control/poison_controller.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -18,9 +19,11 @@
 /// A request whose target ended the connection before the end of its answer.
 struct lost_run {
     std::string request;
-    std::uint64_t fingerprint{0};
+    poison::request_content content;
     base::time_point sent_at{};
     base::time_point lost_at{};
+    /// Events of the answer that had arrived.
+    std::uint64_t events{0};
 };
 
 /// Tells crashes of targets from connections that only broke, and records a crash for each request that ran there. A
--- a/Libraries/forwarding_entry/forwarder.cpp
+++ b/Libraries/forwarding_entry/forwarder.cpp
@@ -96,8 +96,10 @@
         caller_timeout = std::min(caller_timeout, request.route->timeout);
     request.deadline = request.arrived + caller_timeout;
     std::string_view const path{received.target().data(), received.target().size()};
-    request.fingerprint = forwarding::request_fingerprint(
+    request.content.fingerprint = forwarding::request_fingerprint(
         request.organisation == nullptr ? "" : request.organisation->name, path, received.body());
+    for (auto const& id : request.caller.shared_prompt_parts)
+        request.content.parts.push_back({id, forwarding::prompt_part_fingerprint(id)});
     request.received = std::move(received);
     return request;
 }
@@ -134,12 +136,12 @@
         co_return;
     }
     auto request = std::move(prepared).value();
-    if (parts_.suspects.refuses(request.fingerprint)) {
+    if (parts_.suspects.refuses(request.content.fingerprint)) {
         log::write(log::event_kind::request_refused, {{"request", request.caller.id},
                                                       {"reason", base::name_of(base::error_kind::poison_request)},
-                                                      {"fingerprint", request.fingerprint}});
+                                                      {"fingerprint", request.content.fingerprint}});
         parts_.metrics.add(metrics::counter_kind::answers_refused);
-        auto const refusal = make_poison_refusal(parts_.suspects.time_to_expiry(request.fingerprint));
+        auto const refusal = make_poison_refusal(parts_.suspects.time_to_expiry(request.content.fingerprint));
         std::ignore = co_await client->send(make_error_answer(refusal));
         co_return;
     }
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -95,7 +95,7 @@
 
 asio::awaitable<std::optional<plain_exchange::prepared_attempt>>
 plain_exchange::prepare_successor(attempt_pointer current) {
-    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.fingerprint);
+    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.content.fingerprint);
     auto facts = make_attempt_facts(send_result{send_outcome::unknown, {}, {}});
     ++facts.runs;
     prepared_attempt prepared;
@@ -141,7 +141,7 @@
         return {.reason = retry_reason::caller_left};
     if (base::clock::now() >= request_.deadline)
         return {.reason = retry_reason::deadline};
-    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.fingerprint);
+    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.content.fingerprint);
     if (successor_ && !crashes_targets_) {
         parts_.metrics.add(metrics::counter_kind::retries);
         return successor_->decision;
@@ -213,7 +213,7 @@
                                                      {"targets", tried_targets_.size()},
                                                      {"not_repeated", not_repeated_}});
     if (conclusion == forwarding::final_answer::refuse && crashes_targets_)
-        return make_error_answer(make_poison_refusal(parts_.suspects.time_to_expiry(request_.fingerprint)));
+        return make_error_answer(make_poison_refusal(parts_.suspects.time_to_expiry(request_.content.fingerprint)));
     if (conclusion == forwarding::final_answer::refuse)
         return make_error_answer(base::make_error(base::error_kind::overloaded, "no target took the request",
                                                   parts_.placements.return_time(request_.placement())));
@@ -248,7 +248,7 @@
             parts_.board.fleet.held_off(target, base::clock::now()) ? "target_hold_off" : "target_leaving";
         co_return send_result{send_outcome::not_sent, still_allowed ? "deadline" : closed, {}};
     }
-    if (parts_.suspects.refuses(request_.fingerprint)) {
+    if (parts_.suspects.refuses(request_.content.fingerprint)) {
         parts_.connections.release(address, connection, {});
         crashes_targets_ = true;
         co_return send_result{send_outcome::not_sent, std::string{base::name_of(base::error_kind::poison_request)}, {}};
@@ -278,11 +278,11 @@
         ++possible_runs_;
     if (result.connection_lost && !caller_left_) {
         // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
-        lost_run lost{request_.caller.id, request_.fingerprint, current->sent_at, base::clock::now()};
+        lost_run lost{request_.caller.id, request_.content, current->sent_at, base::clock::now(), 0};
         co_await parts_.crashes.examine(target, std::move(lost));
     }
     if (result.outcome == send_outcome::answered && !result.server_error())
-        parts_.suspects.on_success(request_.fingerprint);
+        parts_.suspects.on_success(request_.content.fingerprint);
     using enum forwarding::target_outcome;
     if (!caller_left_ && result.may_have_run() && !result.held_off)
         parts_.placements.record_outcome(
--- a/Libraries/forwarding_entry/request_context.h
+++ b/Libraries/forwarding_entry/request_context.h
@@ -4,9 +4,9 @@
 #include "forwarding/route_set.h"
 #include "http/session.h"
 #include "platform/request_headers.h"
+#include "poison/request_content.h"
 
 #include <algorithm>
-#include <cstdint>
 #include <string>
 
 namespace cyclamenledge::forwarding_entry {
@@ -22,8 +22,7 @@
     /// Null on a route that is open to all.
     forwarding::organisation const* organisation{nullptr};
     std::string service;
-    /// See forwarding::request_fingerprint.
-    std::uint64_t fingerprint{0};
+    poison::request_content content;
     base::time_point arrived{};
     /// Time by which the caller expects the final answer.
     base::time_point deadline{};
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -224,12 +224,12 @@
         ++unsent_attempts_;
     if (result.connection_lost && !current->cancelled && !caller_left_) {
         // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
-        lost_run lost{request_.caller.id, request_.fingerprint, current->sent_at, base::clock::now()};
+        lost_run lost{request_.caller.id, request_.content, current->sent_at, base::clock::now(), current->events};
         co_await parts_.crashes.examine(current->target, std::move(lost));
     }
     bool const succeeded = result.outcome == send_outcome::answered && !result.server_error();
     if (succeeded)
-        parts_.suspects.on_success(request_.fingerprint);
+        parts_.suspects.on_success(request_.content.fingerprint);
     using enum forwarding::target_outcome;
     // The end of a run at a leaving target is expected and does not count against the target's health.
     auto const* view = parts_.board.fleet.find(current->target);
@@ -263,7 +263,7 @@
         parts_.connections.release(current->address, connection, {});
         co_return send_result{send_outcome::not_sent, "no longer wanted", {}};
     }
-    if (parts_.suspects.refuses(request_.fingerprint)) {
+    if (parts_.suspects.refuses(request_.content.fingerprint)) {
         parts_.connections.release(current->address, connection, {});
         crashes_targets_ = true;
         co_return send_result{send_outcome::not_sent, std::string{base::name_of(base::error_kind::poison_request)}, {}};
@@ -358,6 +358,7 @@
     auto const now = base::clock::now();
     while (auto const event = current.splitter.next()) {
         current.received_event = true;
+        ++current.events;
         current.progress_at = now;
         auto const before = relay_.active();
         auto const verdict = relay_.on_event(current.number, event->id);
@@ -434,7 +435,7 @@
 }
 
 void stream_exchange::recover(stream_run& ended, send_result result) {
-    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.fingerprint);
+    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.content.fingerprint);
     if (!crashes_targets_ && result.may_have_run() && resume_from_backup(ended))
         return;
     auto const facts = make_attempt_facts(result);
@@ -460,7 +461,7 @@
         return;
     }
     if (conclusion == forwarding::final_answer::refuse && crashes_targets_) {
-        fail(make_poison_refusal(parts_.suspects.time_to_expiry(request_.fingerprint)), result.reason);
+        fail(make_poison_refusal(parts_.suspects.time_to_expiry(request_.content.fingerprint)), result.reason);
         return;
     }
     if (conclusion == forwarding::final_answer::refuse) {
@@ -513,7 +514,7 @@
 }
 
 asio::awaitable<bool> stream_exchange::handle_stall(stream_run_pointer current, forwarding::stall_action action) {
-    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.fingerprint);
+    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.content.fingerprint);
     if (moving_ || crashes_targets_)
         co_return false;
     if (action == forwarding::stall_action::resume_from_backup) {
--- a/Libraries/forwarding_entry/stream_run.h
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -42,6 +42,8 @@
     bool sent{false};
     base::time_point sent_at{};
     bool received_event{false};
+    /// Events that arrived from the target.
+    std::uint64_t events{0};
     /// When the request was sent or the last whole event arrived. Parts of an event are no progress.
     base::time_point progress_at{};
     /// Whether this process cancelled the run.
--- a/Tests/platform/decoding_test.cpp
+++ b/Tests/platform/decoding_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(engine_reports);
     CPPUNIT_TEST(configuration);
     CPPUNIT_TEST(caller_requests);
+    CPPUNIT_TEST(shared_prompt_parts);
     CPPUNIT_TEST(forwarded_requests);
     CPPUNIT_TEST(answers);
     CPPUNIT_TEST(request_limits);
@@ -147,6 +148,37 @@
         CPPUNIT_ASSERT_EQUAL(1460U, decoded.size->prompt);
     }
 
+    // Guards against a part that is not recognised because another request names it in another place or way, and
+    // against refusing requests with an odd list, which the target judges.
+    void shared_prompt_parts() {
+        struct row {
+            char const* name;
+            char const* value;
+            std::vector<std::string> parts;
+        };
+        std::vector<row> const table{
+            {"none", "", {}},
+            {"one, which is the request's own", "e4402b7d:250", {}},
+            {"three", "5c1e07a2:800,91bd3f06:410,e4402b7d:250", {"5c1e07a2", "91bd3f06"}},
+            {"capitals and spaces", "5C1E07A2:800, 91bd3f06 :410,e4402b7d:250", {"5c1e07a2", "91bd3f06"}},
+            {"repeated", "5c1e07a2:800,5c1e07a2:800,e4402b7d:250", {"5c1e07a2"}},
+            {"without sizes", "5c1e07a2,91bd3f06,e4402b7d", {"5c1e07a2", "91bd3f06"}},
+            {"empty items", ",:4,91bd3f06:410,", {"91bd3f06"}},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto message = caller_message();
+            message.set("X-Prefix-Hash", tested.value);
+            CPPUNIT_ASSERT(tested.parts == platform::decode_caller_request(message).value().shared_prompt_parts);
+        });
+        auto message = caller_message();
+        std::string many;
+        for (int number = 0; number < 1000; ++number)
+            many += std::to_string(number) + ":1,";
+        message.set("X-Prefix-Hash", many);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{64},
+                             platform::decode_caller_request(message).value().shared_prompt_parts.size());
+    }
+
     // Guards against forwarding API keys and headers that only the system may set.
     void forwarded_requests() {
         auto message = caller_message();
