Reproduce crashing parts of prompts with real processes

process_crashing_parts fails on this code: of 16 requests that have one part of their prompts in common and differ in all else, 10 ran and crashed a target each, sent one after the other through four entries, with and without peers. The product has to stop after three.

--- a/Tests/support/platform/caller_messages.cpp
+++ b/Tests/support/platform/caller_messages.cpp
@@ -20,6 +20,8 @@
     if (call.prompt_tokens > 0) {
         message.set("X-Token-Count", std::to_string(call.prompt_tokens) + "," + std::to_string(call.output_tokens));
         message.set("X-Model", "m");
+        if (!call.prompt_parts.empty())
+            message.set("X-Prefix-Hash", call.prompt_parts);
     }
     message.body() = call.body.empty() ? "body of " + call.id : call.body;
     message.prepare_payload();
--- a/Tests/support/platform/caller_messages.h
+++ b/Tests/support/platform/caller_messages.h
@@ -19,6 +19,8 @@
     std::uint32_t output_tokens{0};
     /// Empty for a body that no other request has.
     std::string body{};
+    /// Parts of the prompt, each as ID:TOKENS, separated by commas. Empty for none.
+    std::string prompt_parts{};
 };
 
 /// The request as a caller of the platform sends it.
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -105,7 +105,8 @@
 
 asio::awaitable<bool> target_standin::crash_on(http::session_pointer client, http::request received) {
     std::string_view const target{received.target().data(), received.target().size()};
-    if (target.find(crashing_path) == std::string_view::npos)
+    if (target.find(crashing_path) == std::string_view::npos &&
+        header(received, "X-Prefix-Hash").find(crashing_part) == std::string::npos)
         co_return false;
     auto const request = header(received, "X-Request-Id");
     auto const incarnation = incarnation_;
--- a/Tests/support/platform_process/platform_world.cpp
+++ b/Tests/support/platform_process/platform_world.cpp
@@ -54,7 +54,7 @@
     });
     auto const message =
         platform::standin::encode_call({request.id, soak::caller_host, request.path, soak::caller_key,
-                                        deadline_milliseconds, request.prompt_tokens, 400, request.body});
+                                        deadline_milliseconds, request.prompt_tokens, 400, request.body, request.prompt_parts});
     http_call sent;
     sent.method = "POST";
     sent.path = request.path;
--- a/Tests/support/platform_process/platform_world.h
+++ b/Tests/support/platform_process/platform_world.h
@@ -28,6 +28,8 @@
         std::string body{};
         std::size_t entry{0};
         bool may_run_again{false};
+        /// See platform::standin::caller_call.
+        std::string prompt_parts{};
     };
 
     /// Waits until each entry serves.
