Refuse parts of prompts that crash targets

Cause: crash records belonged to a whole request (organisation, path and body). Requests that have only a part of their prompts in common had no record in common, so each was new, and each crash taught the entries nothing.

Crash records are now kept for each shared part as well, of the runs that had not yet shown the prompt to be sound. Three crashes, one run after the other, refuse the part (five if it has succeeded before), at once, before each send, and while a request waits. Sound requests run beside the culprit, so a success clears a part also of crashes of runs that began before it, and a crash does not count against what something else explains at least as well.

Runs that follow a crash at once count although the notice of that crash was on its way for up to 100 ms. The soak sends such requests and judges them and the sound streams beside them.

--- a/Development/soak/caller.cpp
+++ b/Development/soak/caller.cpp
@@ -30,6 +30,9 @@
 constexpr base::milliseconds longest_pause{60};
 constexpr std::uint64_t calls_per_crashing_call = 60;
 constexpr std::uint64_t orders_per_slow_order = 10;
+// Parts of prompts that sound calls share with each other; the first ones also with those that crash targets.
+constexpr std::uint64_t first_parts = 2;
+constexpr std::uint64_t middle_parts = 12;
 // A connection that has been idle for longer is not used again.
 constexpr base::milliseconds longest_idle{3200};
 // An entry in its planned stop and everything around it were undisturbed for this long.
@@ -71,6 +74,8 @@
     while (!stop) {
         if (may_crash_targets && random_.below(calls_per_crashing_call) == 0)
             co_await call_crashing();
+        if (may_crash_targets && random_.below(calls_per_crashing_call) == 0)
+            co_await call_crashing_part();
         auto const choice = random_.below(10);
         co_await call(choice < 2   ? route::generation
                       : choice < 4 ? route::resumable
@@ -122,6 +127,8 @@
     if (kind == route::order && random_.below(orders_per_slow_order) == 0)
         made.path += platform::standin::slow_path.substr(1);
     made.path += std::to_string(made.size);
+    if (!made.plain)
+        made.prompt_parts = make_prompt("5a" + std::to_string(random_.below(middle_parts)), made.request);
     ledger_.begin_call(made.request, may_run_again(definition), definition.service);
     auto const began = base::clock::now();
     auto const& process = world_.entries()[made.entry]->process;
@@ -153,7 +160,30 @@
     made.path = definition.prefix + std::string{"crash/1"};
     made.body = "crashes targets";
     auto const request = made.request;
-    ledger_.begin_crashing_call(request, may_run_again(definition), definition.service, made.path);
+    ledger_.begin_call(request, may_run_again(definition), definition.service);
+    ledger_.mark_crashing(request, {made.path, content_kind::request});
+    ledger_.end_call(request, co_await perform(std::move(made)));
+}
+
+std::string caller::make_prompt(std::string const& middle, std::string const& request) {
+    return "f00" + std::to_string(random_.below(first_parts)) + ":100," + middle + ":200,0" + request + ":100";
+}
+
+asio::awaitable<void> caller::call_crashing_part() {
+    auto const& definition =
+        fixed_routes()[static_cast<std::size_t>(random_.below(2) == 0 ? route::generation : route::resumable)];
+    exchange made;
+    made.entry = random_.below(world_.entries().size());
+    made.request = next_id();
+    made.plain = false;
+    made.bounds = bounds_of(definition);
+    made.size = 1 + random_.below(120);
+    made.path = definition.prefix + std::to_string(made.size);
+    auto const part = platform::standin::crashing_part + std::to_string(random_.below(2));
+    made.prompt_parts = make_prompt(part, made.request);
+    auto const request = made.request;
+    ledger_.begin_call(request, may_run_again(definition), definition.service);
+    ledger_.mark_crashing(request, {part, content_kind::prompt_part});
     ledger_.end_call(request, co_await perform(std::move(made)));
 }
 
@@ -179,7 +209,8 @@
                                            made.plain ? plain_deadline : stream_deadline,
                                            made.plain ? 0U : 400U + static_cast<std::uint32_t>(random_.below(3000)),
                                            made.plain ? 0U : 600U,
-                                           made.body};
+                                           made.body,
+                                           made.prompt_parts};
     auto const message = platform::standin::encode_call(content);
     ledger_.send_call(made.request, {made.entry, made.plain, made.kept, made.bounds});
     if (auto const sent = co_await connection.value()->send(message, connect_timeout); !sent) {
@@ -229,6 +260,8 @@
         co_return call_end::broken;
     auto const status = head.value().result_int();
     ledger_.answer_call(made.request, status);
+    if (status == 200)
+        ledger_.begin_answer(made.request);
     if (status != 200) {
         if (!co_await connection->read_whole_body(most_bytes, wait))
             co_return call_end::broken;
--- a/Development/soak/caller.h
+++ b/Development/soak/caller.h
@@ -37,6 +37,7 @@
         std::string path;
         /// Empty for a body that no other request has.
         std::string body;
+        std::string prompt_parts;
         std::uint64_t size{0};
         bool plain{true};
         bool kept{false};
@@ -46,6 +47,10 @@
     boost::asio::awaitable<void> call(route kind, std::size_t entry);
     std::size_t choose_entry();
     boost::asio::awaitable<void> call_crashing();
+    /// Sends a generation that has only a crashing part of its prompt in common with others.
+    boost::asio::awaitable<void> call_crashing_part();
+    /// The parts of a prompt: one of few first parts, the given middle part, and one of the request's own.
+    std::string make_prompt(std::string const& middle, std::string const& request);
     boost::asio::awaitable<call_end> perform(exchange made);
     boost::asio::awaitable<call_end> read_plain(http::upstream_pointer connection, exchange made);
     boost::asio::awaitable<call_end> read_stream(http::upstream_pointer connection, exchange made);
--- a/Development/soak/main.cpp
+++ b/Development/soak/main.cpp
@@ -122,6 +122,7 @@
         if (served_then == 0 || served_then < served_after_recovery * ended_then)
             ledger_.violation("after the last fault " + std::to_string(served_then) + " of " +
                               std::to_string(ended_then) + " calls were served");
+        ledger_.check_sound_streams();
         stop_ = true;
         co_await pause(base::milliseconds{300});
         context_.stop();
--- a/Development/soak/run_ledger.cpp
+++ b/Development/soak/run_ledger.cpp
@@ -26,6 +26,11 @@
 // time to learn of it.
 constexpr std::size_t crashes_until_refused = 3;
 constexpr std::uint32_t permitted_late_runs = 3;
+// The same for requests that have a part of their prompts in common.
+constexpr std::size_t crashes_until_part_refused = 5;
+// Beside such requests, sound streams begin at least this much as often as at other times.
+constexpr double least_sound_share = 0.5;
+constexpr std::uint32_t judged_sound_streams = 20;
 // A target that has named a limit gets at most this many requests in a window.
 constexpr base::seconds limit_window{4};
 // Time in which every entry learns of a limit.
@@ -46,10 +51,48 @@
     traffic_[service].calls.push_back(base::clock::now());
 }
 
-void run_ledger::begin_crashing_call(std::string const& request, bool may_run_again, std::string const& service,
-                                     std::string const& content) {
-    begin_call(request, may_run_again, service);
-    calls_[request].crashing_content = content;
+void run_ledger::mark_crashing(std::string const& request, crashing_content const& content, base::time_point at) {
+    calls_[request].crashing_content = content.name;
+    auto& history = crashing_[content.name];
+    history.kind = content.kind;
+    history.last_sent = std::max(history.last_sent, at);
+    if (history.first_sent == base::time_point{})
+        history.first_sent = at;
+}
+
+bool run_ledger::beside_crashing_part(base::time_point at) const {
+    return std::ranges::any_of(crashing_, [&](auto const& item) {
+        auto const& history = item.second;
+        if (history.kind != content_kind::prompt_part || history.crashes.empty() || at > history.last_sent)
+            return false;
+        auto const last = std::min(history.crashes.size(), crashes_until_part_refused) - 1;
+        return at > history.crashes[last] + 2 * contact_time;
+    });
+}
+
+void run_ledger::check_sound_streams() {
+    stream_share beside;
+    stream_share outside;
+    for (auto const& [request, call] : calls_) {
+        bool const judged = call.sent && !call.sent->plain && call.ended && call.end != call_end::left &&
+                            call.crashing_content.empty() && call.sent->calm;
+        if (!judged)
+            continue;
+        auto const at = call.sent->at;
+        bool const crashing = std::ranges::any_of(crashing_, [&](auto const& item) {
+            return !item.second.crashes.empty() && at >= item.second.first_sent && at <= item.second.last_sent;
+        });
+        if (crashing && !beside_crashing_part(at))
+            continue;
+        auto& share = crashing ? beside : outside;
+        ++share.sent;
+        share.began += call.answer_began ? 1 : 0;
+    }
+    if (beside.sent >= judged_sound_streams && outside.sent >= judged_sound_streams &&
+        beside.value() < least_sound_share * outside.value())
+        violation("beside calls that crash targets " + std::to_string(beside.began) + " of " +
+                  std::to_string(beside.sent) + " sound streams began, at other times " +
+                  std::to_string(outside.began) + " of " + std::to_string(outside.sent));
 }
 
 void run_ledger::end_call(std::string const& request, call_end end, base::time_point at) {
@@ -299,10 +342,13 @@
 
 void run_ledger::check_crashing_run(call_record const& call, base::time_point now) {
     auto const found = crashing_.find(call.crashing_content);
-    if (found == crashing_.end() || found->second.crashes.size() < crashes_until_refused)
+    if (found == crashing_.end())
         return;
     auto& content = found->second;
-    bool const late = now > content.crashes[crashes_until_refused - 1] + contact_time;
+    auto const crashes = content.kind == content_kind::prompt_part ? crashes_until_part_refused : crashes_until_refused;
+    if (content.crashes.size() < crashes)
+        return;
+    bool const late = now > content.crashes[crashes - 1] + contact_time;
     if (late && calm_since(now - contact_time) && ++content.late_runs == permitted_late_runs + 1)
         violation(call.crashing_content + " reached targets again after it had crashed " +
                   std::to_string(content.crashes.size()));
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -43,6 +43,8 @@
     bool kept{false};
     call_bounds bounds{};
     base::time_point at{base::clock::now()};
+    /// Nothing unplanned was at work for the contact time.
+    bool calm{false};
 };
 
 /// How far a fault reaches.
@@ -56,8 +58,10 @@
     bool may_run_again{false};
     /// Requests of this attempt that have reached targets.
     std::uint32_t arrivals{0};
-    /// Names the content of a request that crashes targets. Empty for others.
+    /// Names what the call has in common with others that crash targets. Empty for others.
     std::string crashing_content;
+    /// The target has begun to write the answer of a stream.
+    bool answer_began{false};
     std::uint32_t runs{0};
     /// Runs that went on from the memory of an earlier one.
     std::uint32_t resumptions{0};
@@ -93,14 +97,28 @@
     std::optional<base::milliseconds> sent_after_stop;
 };
 
+/// What calls that crash targets have in common.
+enum class content_kind : std::uint8_t { request, prompt_part };
+
+struct crashing_content {
+    std::string name;
+    content_kind kind{content_kind::request};
+};
+
 /// Collects what callers and targets see and holds it against the promises.
 class run_ledger : public platform::standin::target_observer {
 public:
     void begin_call(std::string const& request, bool may_run_again, std::string const& service);
-    /// Begins a call whose content crashes every target that runs it. Such calls are not counted.
-    void begin_crashing_call(std::string const& request, bool may_run_again, std::string const& service,
-                             std::string const& content);
-    void send_call(std::string const& request, sending const& sent) { calls_[request].sent = sent; }
+    /// The call crashes every target that runs it. Such calls are not counted.
+    void mark_crashing(std::string const& request, crashing_content const& content,
+                       base::time_point at = base::clock::now());
+    void begin_answer(std::string const& request) { calls_[request].answer_began = true; }
+    /// Compares the sound streams that begin beside calls which crash targets with those that begin at other times.
+    void check_sound_streams();
+    void send_call(std::string const& request, sending const& sent) {
+        auto& kept = calls_[request].sent.emplace(sent);
+        kept.calm = in_touch(sent.entry, sent.at) && calm_since(sent.at - contact_time);
+    }
     void answer_call(std::string const& request, unsigned status) { calls_[request].status = status; }
     void end_call(std::string const& request, call_end end, base::time_point at = base::clock::now());
     /// The entry receives its first SIGTERM.
@@ -170,10 +188,20 @@
     call_record const* find(std::string const& request) const;
 
 private:
-    struct crashing_content {
+    struct crash_history {
+        content_kind kind{content_kind::request};
         std::vector<base::time_point> crashes;
         /// Runs that the entries had to prevent.
         std::uint32_t late_runs{0};
+        /// When callers sent such calls first and last.
+        base::time_point first_sent{};
+        base::time_point last_sent{};
+    };
+    struct stream_share {
+        std::uint32_t sent{0};
+        std::uint32_t began{0};
+
+        double value() const { return sent == 0 ? 0 : static_cast<double>(began) / sent; }
     };
 
     struct limited_target {
@@ -218,12 +246,14 @@
     void check_attempts(std::string const& request, call_record& call, base::time_point now);
     void record_cut(std::string const& request, call_record const& call, base::time_point at);
     void check_crashing_run(call_record const& call, base::time_point now);
+    /// Whether the entries had the time to tell a crashing part from others, while calls with it still come.
+    bool beside_crashing_part(base::time_point at) const;
     void check_notices(std::string const& request, std::string const& target_id, base::time_point now);
     void check_limit(std::string const& request, std::string const& target_id, base::time_point now);
     void check_retry_bound(std::string const& request, std::string const& service, base::time_point now);
 
     std::map<std::string, call_record> calls_;
-    std::map<std::string, crashing_content> crashing_;
+    std::map<std::string, crash_history> crashing_;
     std::map<std::string, base::time_point> closed_;
     std::map<std::string, limited_target> limited_;
     std::map<std::string, service_traffic> traffic_;
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -50,7 +50,7 @@
            memory <= insignificant_memory_share * sent.total_tokens && std::chrono::abs(wait) <= insignificant_wait;
 }
 
-std::vector<link::connection_pointer> connected_entries(link::hub const& hub, std::uint64_t) {
+std::vector<link::connection_pointer> connected_entries(link::hub const& hub, poison_control::outgoing_notice const&) {
     return hub.ready_connections();
 }
 
--- a/Libraries/forwarding_entry/crash_detector.cpp
+++ b/Libraries/forwarding_entry/crash_detector.cpp
@@ -27,13 +27,13 @@
 } // namespace
 
 asio::awaitable<void> crash_detector::examine(std::string target, lost_run run) {
-    auto const fingerprint = run.content.fingerprint;
+    bool const wait = suspects_.suspects(run.content);
     auto const [found, inserted] = examinations_.try_emplace(target, context_);
     auto& examined = found->second;
     examined.runs.push_back(std::move(run));
     if (inserted)
         asio::co_spawn(context_, conclude(target), asio::detached);
-    if (suspects_.suspects(fingerprint))
+    if (wait)
         co_await examined.verdict.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
@@ -54,18 +54,28 @@
     auto const concluded = examinations_.extract(target);
     if (!crashed)
         co_return;
-    auto const now = base::clock::now();
-    for (auto const& run : concluded.mapped().runs) {
-        log::write(log::event_kind::target_crashed, {{"request", run.request},
-                                                     {"fingerprint", run.content.fingerprint},
-                                                     {"target", target},
-                                                     {"parts", run.content.describe_parts()},
-                                                     {"events", run.events}});
-        // A target that starts again under its id counts as another one.
-        suspects_.on_crash({run.content.fingerprint, target + "@" + std::to_string(lost.started_at),
-                            static_cast<std::uint64_t>(lost.started_at),
-                            std::chrono::duration_cast<base::milliseconds>(now - run.lost_at),
-                            std::chrono::duration_cast<base::milliseconds>(run.lost_at - run.sent_at)});
+    for (auto const& run : concluded.mapped().runs)
+        record(target, lost, run);
+}
+
+void crash_detector::record(std::string const& target, forwarding::target_record const& lost, lost_run const& run) {
+    log::write(log::event_kind::target_crashed, {{"request", run.request},
+                                                 {"fingerprint", run.content.fingerprint},
+                                                 {"target", target},
+                                                 {"parts", run.content.describe_parts()},
+                                                 {"events", run.events}});
+    // A target that starts again under its id counts as another one.
+    poison::crash_notice notice{run.content.fingerprint, target + "@" + std::to_string(lost.started_at),
+                                static_cast<std::uint64_t>(lost.started_at),
+                                std::chrono::duration_cast<base::milliseconds>(base::clock::now() - run.lost_at),
+                                std::chrono::duration_cast<base::milliseconds>(run.lost_at - run.sent_at)};
+    suspects_.on_crash(notice);
+    if (run.prompt_is_sound)
+        return;
+    notice.kind = poison::content_kind::prompt_part;
+    for (auto const& part : run.content.parts) {
+        notice.fingerprint = part.fingerprint;
+        suspects_.on_crash(notice);
     }
 }
 
--- a/Libraries/forwarding_entry/crash_detector.h
+++ b/Libraries/forwarding_entry/crash_detector.h
@@ -24,6 +24,8 @@
     base::time_point lost_at{};
     /// Events of the answer that had arrived.
     std::uint64_t events{0};
+    /// The target had written the answer for longer than a prompt needs to crash it.
+    bool prompt_is_sound{false};
 };
 
 /// Tells crashes of targets from connections that only broke, and records a crash for each request that ran there. A
@@ -37,8 +39,8 @@
         , board_(board)
         , suspects_(suspects) {}
 
-    /// Examines the target. Waits for the verdict if the request has a crash record already, because a second one
-    /// decides whether the request may be sent again; otherwise returns at once.
+    /// Examines the target. Waits for the verdict if the request or a part of its prompt has a crash record already,
+    /// because another one may decide whether the request may be sent again; otherwise returns at once.
     boost::asio::awaitable<void> examine(std::string target, lost_run run);
 
 private:
@@ -51,6 +53,7 @@
     };
 
     boost::asio::awaitable<void> conclude(std::string target);
+    void record(std::string const& target, forwarding::target_record const& lost, lost_run const& run);
     boost::asio::awaitable<bool> refuses_connections(std::string address);
     boost::asio::awaitable<bool> is_replaced(forwarding::target_record lost);
 
--- a/Libraries/forwarding_entry/forwarder.cpp
+++ b/Libraries/forwarding_entry/forwarder.cpp
@@ -136,13 +136,12 @@
         co_return;
     }
     auto request = std::move(prepared).value();
-    if (parts_.suspects.refuses(request.content.fingerprint)) {
+    if (auto const refused = parts_.suspects.refuse(request.content)) {
         log::write(log::event_kind::request_refused, {{"request", request.caller.id},
                                                       {"reason", base::name_of(base::error_kind::poison_request)},
-                                                      {"fingerprint", request.content.fingerprint}});
+                                                      {"fingerprint", refused->fingerprint}});
         parts_.metrics.add(metrics::counter_kind::answers_refused);
-        auto const refusal = make_poison_refusal(parts_.suspects.time_to_expiry(request.content.fingerprint));
-        std::ignore = co_await client->send(make_error_answer(refusal));
+        std::ignore = co_await client->send(make_error_answer(make_poison_refusal(refused->time_to_expiry)));
         co_return;
     }
     // A stream can last longer than the rest of the drain, so none is started.
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -63,7 +63,7 @@
     need.on_time_until = request_.arrived + request_.route->latency_objective - run_time_reserve;
     need.overcommit_at = need.on_time_until;
     need.give_up_at = request_.deadline - run_time_reserve;
-    need.is_cancelled = [this] { return caller_left_; };
+    need.is_cancelled = [this] { return caller_left_ || learn_refusal(); };
     return need;
 }
 
@@ -95,7 +95,8 @@
 
 asio::awaitable<std::optional<plain_exchange::prepared_attempt>>
 plain_exchange::prepare_successor(attempt_pointer current) {
-    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.content.fingerprint);
+    if (learn_refusal())
+        co_return std::nullopt;
     auto facts = make_attempt_facts(send_result{send_outcome::unknown, {}, {}});
     ++facts.runs;
     prepared_attempt prepared;
@@ -141,14 +142,19 @@
         return {.reason = retry_reason::caller_left};
     if (base::clock::now() >= request_.deadline)
         return {.reason = retry_reason::deadline};
-    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.content.fingerprint);
-    if (successor_ && !crashes_targets_) {
+    if (successor_ && !learn_refusal()) {
         parts_.metrics.add(metrics::counter_kind::retries);
         return successor_->decision;
     }
     return decide_retry(parts_, request_.service, make_attempt_facts(last));
 }
 
+bool plain_exchange::learn_refusal() {
+    if (!refusal_)
+        refusal_ = parts_.suspects.find_refusal(request_.content);
+    return refusal_.has_value();
+}
+
 forwarding::attempt_facts plain_exchange::make_attempt_facts(send_result const& last) const {
     return {last.outcome,
             last.server_error(),
@@ -156,7 +162,7 @@
             possible_runs_,
             request_.route->maximum_attempts,
             unsent_attempts_,
-            crashes_targets_};
+            refusal_.has_value()};
 }
 
 asio::awaitable<http::response> plain_exchange::run_attempts() {
@@ -169,7 +175,8 @@
             if (!target) {
                 // Unless a target may have run it, the request is refused, and the caller told when to return.
                 if (possible_runs_ == 0)
-                    co_return make_error_answer(target.error());
+                    co_return make_error_answer(refusal_ ? make_poison_refusal(refusal_->time_to_expiry)
+                                                         : target.error());
                 // Every other target was tried already, so the last outcome is final.
                 not_repeated_ = base::name_of(target.error().kind);
                 break;
@@ -212,8 +219,8 @@
                                                      {"reason", last.reason},
                                                      {"targets", tried_targets_.size()},
                                                      {"not_repeated", not_repeated_}});
-    if (conclusion == forwarding::final_answer::refuse && crashes_targets_)
-        return make_error_answer(make_poison_refusal(parts_.suspects.time_to_expiry(request_.content.fingerprint)));
+    if (conclusion == forwarding::final_answer::refuse && refusal_)
+        return make_error_answer(make_poison_refusal(refusal_->time_to_expiry));
     if (conclusion == forwarding::final_answer::refuse)
         return make_error_answer(base::make_error(base::error_kind::overloaded, "no target took the request",
                                                   parts_.placements.return_time(request_.placement())));
@@ -248,9 +255,8 @@
             parts_.board.fleet.held_off(target, base::clock::now()) ? "target_hold_off" : "target_leaving";
         co_return send_result{send_outcome::not_sent, still_allowed ? "deadline" : closed, {}};
     }
-    if (parts_.suspects.refuses(request_.content.fingerprint)) {
+    if (learn_refusal()) {
         parts_.connections.release(address, connection, {});
-        crashes_targets_ = true;
         co_return send_result{send_outcome::not_sent, std::string{base::name_of(base::error_kind::poison_request)}, {}};
     }
     connection_ = std::move(connection);
@@ -278,11 +284,13 @@
         ++possible_runs_;
     if (result.connection_lost && !caller_left_) {
         // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
-        lost_run lost{request_.caller.id, request_.content, current->sent_at, base::clock::now(), 0};
+        lost_run lost{request_.caller.id, request_.content, current->sent_at, base::clock::now(), 0, false};
         co_await parts_.crashes.examine(target, std::move(lost));
     }
-    if (result.outcome == send_outcome::answered && !result.server_error())
+    if (result.outcome == send_outcome::answered && !result.server_error()) {
         parts_.suspects.on_success(request_.content.fingerprint);
+        parts_.suspects.on_part_success(request_.content);
+    }
     using enum forwarding::target_outcome;
     if (!caller_left_ && result.may_have_run() && !result.held_off)
         parts_.placements.record_outcome(
--- a/Libraries/forwarding_entry/plain_exchange.h
+++ b/Libraries/forwarding_entry/plain_exchange.h
@@ -61,6 +61,8 @@
     forwarding::attempt_facts make_attempt_facts(send_result const& last) const;
     http::response make_final_answer(send_result last);
     placement_need next_placement(std::vector<std::string> const& excluded);
+    /// Whether the request is known to crash targets, so that no other one may get it.
+    bool learn_refusal();
     void on_caller_left();
 
     entry_parts& parts_;
@@ -77,8 +79,8 @@
     std::uint32_t unsent_attempts_{0};
     /// Why the request is not sent to another target, for the log.
     std::string_view not_repeated_{retry_reason::final_outcome};
-    /// Targets crashed while they ran requests with the same content.
-    bool crashes_targets_{false};
+    /// Set once the request is known to crash targets.
+    std::optional<poison::refusal> refusal_;
     bool caller_left_{false};
 };
 
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -123,7 +123,7 @@
                                    request_.arrived + objectives_until_abandoned * request_.route->latency_objective) -
         abandon_margin;
     need.overcommit_at = need.give_up_at - overcommit_lead;
-    need.is_cancelled = [this] { return caller_left_; };
+    need.is_cancelled = [this] { return caller_left_ || learn_refusal(); };
     return need;
 }
 
@@ -136,7 +136,7 @@
             fail(base::make_error(base::error_kind::generation_lost, "no other target can take the request"),
                  base::name_of(target.error().kind));
         else
-            answer_ = make_error_answer(target.error());
+            answer_ = make_error_answer(refusal_ ? make_poison_refusal(refusal_->time_to_expiry) : target.error());
         if (phase_ == phase::needs_run)
             phase_ = phase::answered;
         co_return;
@@ -224,12 +224,17 @@
         ++unsent_attempts_;
     if (result.connection_lost && !current->cancelled && !caller_left_) {
         // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
-        lost_run lost{request_.caller.id, request_.content, current->sent_at, base::clock::now(), current->events};
+        auto const now = base::clock::now();
+        lost_run lost{request_.caller.id, request_.content,
+                      current->sent_at,   now,
+                      current->events,    current->shows_sound_prompt(now)};
         co_await parts_.crashes.examine(current->target, std::move(lost));
     }
     bool const succeeded = result.outcome == send_outcome::answered && !result.server_error();
-    if (succeeded)
+    if (succeeded) {
         parts_.suspects.on_success(request_.content.fingerprint);
+        parts_.suspects.on_part_success(request_.content);
+    }
     using enum forwarding::target_outcome;
     // The end of a run at a leaving target is expected and does not count against the target's health.
     auto const* view = parts_.board.fleet.find(current->target);
@@ -263,9 +268,8 @@
         parts_.connections.release(current->address, connection, {});
         co_return send_result{send_outcome::not_sent, "no longer wanted", {}};
     }
-    if (parts_.suspects.refuses(request_.content.fingerprint)) {
+    if (learn_refusal()) {
         parts_.connections.release(current->address, connection, {});
-        crashes_targets_ = true;
         co_return send_result{send_outcome::not_sent, std::string{base::name_of(base::error_kind::poison_request)}, {}};
     }
     current->connection = std::move(connection);
@@ -358,7 +362,12 @@
     auto const now = base::clock::now();
     while (auto const event = current.splitter.next()) {
         current.received_event = true;
-        ++current.events;
+        if (current.events++ == 0)
+            current.first_event_at = now;
+        if (!current.prompt_reported && current.shows_sound_prompt(now)) {
+            current.prompt_reported = true;
+            parts_.suspects.on_part_success(request_.content);
+        }
         current.progress_at = now;
         auto const before = relay_.active();
         auto const verdict = relay_.on_event(current.number, event->id);
@@ -435,11 +444,11 @@
 }
 
 void stream_exchange::recover(stream_run& ended, send_result result) {
-    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.content.fingerprint);
-    if (!crashes_targets_ && result.may_have_run() && resume_from_backup(ended))
+    bool const refused = learn_refusal();
+    if (!refused && result.may_have_run() && resume_from_backup(ended))
         return;
     auto const facts = make_attempt_facts(result);
-    if (replacement_ && replacement_->replaced == ended.number && !crashes_targets_) {
+    if (replacement_ && replacement_->replaced == ended.number && !refused) {
         start_replacement(result.reason);
         return;
     }
@@ -460,8 +469,8 @@
         phase_ = phase::answered;
         return;
     }
-    if (conclusion == forwarding::final_answer::refuse && crashes_targets_) {
-        fail(make_poison_refusal(parts_.suspects.time_to_expiry(request_.content.fingerprint)), result.reason);
+    if (conclusion == forwarding::final_answer::refuse && refused) {
+        fail(make_poison_refusal(refusal_->time_to_expiry), result.reason);
         return;
     }
     if (conclusion == forwarding::final_answer::refuse) {
@@ -472,6 +481,12 @@
     fail(base::make_error(base::error_kind::generation_lost, "the target was lost: " + result.reason), result.reason);
 }
 
+bool stream_exchange::learn_refusal() {
+    if (!refusal_)
+        refusal_ = parts_.suspects.find_refusal(request_.content);
+    return refusal_.has_value();
+}
+
 forwarding::attempt_facts stream_exchange::make_attempt_facts(send_result const& last) const {
     // The request may have run at an earlier target even if the refusal of a successor states that it has not run.
     return {last.outcome,
@@ -480,7 +495,7 @@
             possible_runs_,
             request_.route->maximum_attempts,
             unsent_attempts_,
-            crashes_targets_};
+            refusal_.has_value()};
 }
 
 std::optional<forwarding::stall_rule> stream_exchange::stall_rule_of(stream_run const& current) const {
@@ -514,8 +529,7 @@
 }
 
 asio::awaitable<bool> stream_exchange::handle_stall(stream_run_pointer current, forwarding::stall_action action) {
-    crashes_targets_ = crashes_targets_ || parts_.suspects.refuses(request_.content.fingerprint);
-    if (moving_ || crashes_targets_)
+    if (moving_ || learn_refusal())
         co_return false;
     if (action == forwarding::stall_action::resume_from_backup) {
         auto const now = base::clock::now();
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -83,6 +83,8 @@
     void withdraw(prepared_run const& unused);
     placement_need make_need(std::vector<std::string> const& excluded);
     forwarding::attempt_facts make_attempt_facts(send_result const& last) const;
+    /// Whether the request is known to crash targets, so that no other one may get it.
+    bool learn_refusal();
 
     void on_end(stream_run& ended, send_result result);
     void recover(stream_run& ended, send_result result);
@@ -141,8 +143,8 @@
     base::milliseconds longest_gap_{};
     std::uint32_t takeovers_{0};
     bool moving_{false};
-    /// Targets crashed while they ran requests with the same content.
-    bool crashes_targets_{false};
+    /// Set once the request is known to crash targets.
+    std::optional<poison::refusal> refusal_;
     bool caller_left_{false};
 };
 
--- a/Libraries/forwarding_entry/stream_run.h
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -16,6 +16,9 @@
 
 namespace cyclamenledge::forwarding_entry {
 
+/// A target that crashes on a prompt does so within this time from its first event, and mostly before.
+inline constexpr base::milliseconds crash_time{250};
+
 /// One run of a streamed request at one target.
 struct stream_run : public boost::intrusive_ref_counter<stream_run> {
     forwarding::run_number number{forwarding::no_run};
@@ -44,12 +47,17 @@
     bool received_event{false};
     /// Events that arrived from the target.
     std::uint64_t events{0};
+    base::time_point first_event_at{};
+    /// The success of the prompt's parts was reported.
+    bool prompt_reported{false};
     /// When the request was sent or the last whole event arrived. Parts of an event are no progress.
     base::time_point progress_at{};
     /// Whether this process cancelled the run.
     bool cancelled{false};
     bool ended{false};
 
+    /// Whether the target has written the answer for longer than a prompt needs to crash it.
+    bool shows_sound_prompt(base::time_point now) const { return events > 0 && now - first_event_at >= crash_time; }
     void cancel() {
         cancelled = true;
         if (connection)
--- a/Libraries/poison/crash_suspects.cpp
+++ b/Libraries/poison/crash_suspects.cpp
@@ -8,8 +8,17 @@
 
 namespace cyclamenledge::poison {
 
+namespace {
+
+// Ages of notices leave out the time that they take to arrive, which differs between crashes. A run that was started
+// right after a crash must not seem to overlap with it.
+constexpr base::milliseconds notice_delay{100};
+
+} // namespace
+
 crash_suspects::crash_suspects(crash_suspects_options options)
-    : options_(options) {}
+    : options_(options)
+    , part_successes_(options.maximum_remembered_successes) {}
 
 bool crash_suspects::on_crash(crash_notice const& notice, base::time_point now) {
     // A negative age would keep a crash record for longer than its lifetime.
@@ -17,6 +26,10 @@
     if (expired(at, now))
         return false;
     auto const found = find_or_insert(notice.fingerprint, at);
+    found->kind = notice.kind;
+    auto const own_success = part_successes_.last(notice.fingerprint);
+    if (own_success)
+        found->cleared = std::max(found->cleared, *own_success);
     auto& records = found->crash_records;
     auto const run_started = at - std::max(notice.ran_for, base::milliseconds{0});
     auto const existing = std::ranges::find_if(records, [&notice](crash_record const& record) {
@@ -32,21 +45,34 @@
         auto const replaceable = std::ranges::find_if(records, &crash_record::cleared);
         if (replaceable == records.end())
             return false;
+        std::erase(by_crash_[identity_of(*replaceable)], notice.fingerprint);
         records.erase(replaceable);
     }
-    bool const cleared = at <= found->cleared;
-    records.push_back({notice.target, notice.incarnation, at, run_started, cleared});
+    crash_record record{notice.target, notice.incarnation, at, run_started, false};
+    record.cleared = clears(*found, record, found->cleared);
+    bool const cleared = record.cleared;
+    found->refutation_due = found->refutation_due || (cleared && own_success && clears(*found, record, *own_success));
+    auto& in_crash = by_crash_[identity_of(record)];
+    if (std::ranges::find(in_crash, notice.fingerprint) == in_crash.end())
+        in_crash.push_back(notice.fingerprint);
+    records.push_back(std::move(record));
     update_newest(found, std::max(found->newest, at));
     evict_oldest();
     return !cleared;
 }
 
+bool crash_suspects::clears(suspect const& cleared, crash_record const& record, base::time_point success) {
+    // The success of a whole request may be that of the run which crashed the target after its answer.
+    return (cleared.kind == content_kind::prompt_part ? record.run_started : record.at) <= success;
+}
+
 bool crash_suspects::clear(suspect& cleared, base::time_point at) {
     cleared.cleared = std::max(cleared.cleared, at);
     bool any = false;
     for (auto& record : cleared.crash_records) {
-        any = any || (!record.cleared && record.at <= at);
-        record.cleared = record.cleared || record.at <= at;
+        bool const clears_record = clears(cleared, record, at);
+        any = any || (!record.cleared && clears_record);
+        record.cleared = record.cleared || clears_record;
     }
     return any;
 }
@@ -62,6 +88,19 @@
     return any_cleared;
 }
 
+bool crash_suspects::on_part_success(std::uint64_t fingerprint, base::time_point now) {
+    part_successes_.add(fingerprint, now);
+    return on_success(fingerprint, now);
+}
+
+std::optional<base::milliseconds> crash_suspects::take_refutation(std::uint64_t fingerprint, base::time_point now) {
+    auto const found = by_fingerprint_.find(fingerprint);
+    auto const success = part_successes_.last(fingerprint);
+    if (found == by_fingerprint_.end() || !success || !std::exchange(found->second->refutation_due, false))
+        return std::nullopt;
+    return std::chrono::duration_cast<base::milliseconds>(now - *success);
+}
+
 bool crash_suspects::on_peer_success(std::uint64_t fingerprint, base::milliseconds age, base::time_point now) {
     auto const at = now - std::max(age, base::milliseconds{0});
     if (expired(at, now))
@@ -73,28 +112,108 @@
     return any_cleared;
 }
 
-std::size_t crash_suspects::count_separate_crashes(suspect const& counted, base::time_point now) const {
-    auto records = counted.crash_records;
-    std::erase_if(records,
-                  [this, now](crash_record const& record) { return record.cleared || expired(record.at, now); });
+crash_suspects::crash_identity crash_suspects::identity_of(crash_record const& record) {
+    return {record.target, record.incarnation};
+}
+
+crash_suspects::suspect const* crash_suspects::find(std::uint64_t fingerprint) const {
+    auto const found = by_fingerprint_.find(fingerprint);
+    return found == by_fingerprint_.end() ? nullptr : &*found->second;
+}
+
+std::size_t crash_suspects::targets_to_refuse(suspect const& judged) const {
+    if (judged.kind == content_kind::request)
+        return options_.targets_to_refuse;
+    return judged.has_succeeded() ? options_.targets_to_refuse_sound_part : options_.targets_to_refuse_part;
+}
+
+crash_suspects::crash_records crash_suspects::current_records(suspect const& counted, base::time_point now) const {
+    crash_records records;
+    for (auto const& record : counted.crash_records) {
+        if (!record.cleared && !expired(record.at, now))
+            records.push_back(&record);
+    }
     std::ranges::sort(records, {}, &crash_record::at);
+    return records;
+}
+
+std::size_t crash_suspects::count_separate_crashes(crash_records const& records) {
     std::set<std::string_view> targets;
     auto last_crash = base::time_point::min();
-    for (auto const& record : records) {
-        if (record.run_started >= last_crash && targets.insert(record.target).second)
-            last_crash = record.at;
+    for (auto const* record : records) {
+        if (record->run_started + notice_delay >= last_crash && targets.insert(record->target).second)
+            last_crash = record->at;
     }
     return targets.size();
 }
 
-bool crash_suspects::suspects(std::uint64_t fingerprint, base::time_point now) const {
-    auto const found = by_fingerprint_.find(fingerprint);
-    return found != by_fingerprint_.end() && count_separate_crashes(*found->second, now) > 0;
+bool crash_suspects::explains_better(suspect const& other, suspect const& judged, base::time_point now) const {
+    auto const others_records = current_records(other, now);
+    if (other.has_succeeded() || count_separate_crashes(others_records) < targets_to_refuse(other))
+        return false;
+    auto const crashes = current_records(judged, now).size();
+    // Requests that have crashed the same targets are all refused, because none may crash a third one.
+    bool const as_many_suffice = other.kind == content_kind::prompt_part;
+    return judged.has_succeeded() || others_records.size() >= crashes + (as_many_suffice ? 0 : 1);
+}
+
+bool crash_suspects::explained_by_others(crash_record const& record, suspect const& judged,
+                                         request_content const& content, base::time_point now) const {
+    auto const held = [&content](std::uint64_t fingerprint) {
+        return fingerprint == content.fingerprint ||
+               std::ranges::find(content.parts, fingerprint, &prompt_part::fingerprint) != content.parts.end();
+    };
+    auto const in_crash = by_crash_.find(identity_of(record));
+    return in_crash != by_crash_.end() && std::ranges::any_of(in_crash->second, [&](std::uint64_t fingerprint) {
+               auto const* other = find(fingerprint);
+               return other != nullptr && other != &judged && !held(fingerprint) &&
+                      explains_better(*other, judged, now);
+           });
+}
+
+std::optional<refusal> crash_suspects::judge(suspect const& judged, request_content const& content,
+                                             base::time_point now) const {
+    auto const needed = targets_to_refuse(judged);
+    auto records = current_records(judged, now);
+    // Few fingerprints have enough records, so the costly comparison with others is rare.
+    if (count_separate_crashes(records) < needed)
+        return std::nullopt;
+    std::erase_if(records,
+                  [&](crash_record const* record) { return explained_by_others(*record, judged, content, now); });
+    auto const crashes = count_separate_crashes(records);
+    if (crashes < needed)
+        return std::nullopt;
+    return refusal{judged.fingerprint, judged.kind, crashes, time_to_expiry(judged.fingerprint, now)};
+}
+
+std::optional<refusal> crash_suspects::find_refusal(request_content const& content, base::time_point now) const {
+    if (suspects_.empty())
+        return std::nullopt;
+    auto const judge_fingerprint = [&](std::uint64_t fingerprint) {
+        auto const* judged = find(fingerprint);
+        return judged == nullptr ? std::nullopt : judge(*judged, content, now);
+    };
+    if (auto found = judge_fingerprint(content.fingerprint))
+        return found;
+    for (auto const& part : content.parts) {
+        if (auto found = judge_fingerprint(part.fingerprint))
+            return found;
+    }
+    return std::nullopt;
 }
 
 bool crash_suspects::refuses(std::uint64_t fingerprint, base::time_point now) const {
-    auto const found = by_fingerprint_.find(fingerprint);
-    return found != by_fingerprint_.end() && count_separate_crashes(*found->second, now) >= options_.targets_to_refuse;
+    return find_refusal({fingerprint, {}}, now).has_value();
+}
+
+bool crash_suspects::suspects(std::uint64_t fingerprint, base::time_point now) const {
+    auto const* found = find(fingerprint);
+    return found != nullptr && !current_records(*found, now).empty();
+}
+
+bool crash_suspects::suspects(request_content const& content, base::time_point now) const {
+    return suspects(content.fingerprint, now) ||
+           std::ranges::any_of(content.parts, [&](auto const& part) { return suspects(part.fingerprint, now); });
 }
 
 base::milliseconds crash_suspects::time_to_expiry(std::uint64_t fingerprint, base::time_point now) const {
@@ -117,23 +236,25 @@
             if (!record.cleared && !expired(record.at, now))
                 notices.push_back({item.fingerprint, record.target, record.incarnation,
                                    std::chrono::duration_cast<base::milliseconds>(now - record.at),
-                                   std::chrono::duration_cast<base::milliseconds>(record.at - record.run_started)});
+                                   std::chrono::duration_cast<base::milliseconds>(record.at - record.run_started),
+                                   item.kind});
         }
     }
     return notices;
 }
 
 void crash_suspects::expire(base::time_point now) {
-    while (!suspects_.empty() && expired(suspects_.front().newest, now)) {
-        by_fingerprint_.erase(suspects_.front().fingerprint);
-        suspects_.pop_front();
-    }
+    while (!suspects_.empty() && expired(suspects_.front().newest, now))
+        erase_oldest();
 }
 
 crash_suspects::suspect_list::iterator crash_suspects::find_or_insert(std::uint64_t fingerprint, base::time_point at) {
     if (auto const found = by_fingerprint_.find(fingerprint); found != by_fingerprint_.end())
         return found->second;
-    suspects_.push_back({fingerprint, {}, at});
+    suspect added;
+    added.fingerprint = fingerprint;
+    added.newest = at;
+    suspects_.push_back(std::move(added));
     auto const found = std::prev(suspects_.end());
     by_fingerprint_.emplace(fingerprint, found);
     return found;
@@ -155,10 +276,22 @@
 }
 
 void crash_suspects::evict_oldest() {
-    while (suspects_.size() > options_.maximum_fingerprints) {
-        by_fingerprint_.erase(suspects_.front().fingerprint);
-        suspects_.pop_front();
+    while (suspects_.size() > options_.maximum_fingerprints)
+        erase_oldest();
+}
+
+void crash_suspects::erase_oldest() {
+    auto const& oldest = suspects_.front();
+    for (auto const& record : oldest.crash_records) {
+        auto const in_crash = by_crash_.find(identity_of(record));
+        if (in_crash == by_crash_.end())
+            continue;
+        std::erase(in_crash->second, oldest.fingerprint);
+        if (in_crash->second.empty())
+            by_crash_.erase(in_crash);
     }
+    by_fingerprint_.erase(oldest.fingerprint);
+    suspects_.pop_front();
 }
 
 } // namespace cyclamenledge::poison
--- a/Tests/soak/run_ledger_test.cpp
+++ b/Tests/soak/run_ledger_test.cpp
@@ -31,15 +31,33 @@
         std::ignore = other.start(1);
     }
 
-    void run_crashing(int crashes, base::duration ago, int runs) {
+    void run_crashing(int crashes, base::duration ago, int runs,
+                      soak::content_kind kind = soak::content_kind::request) {
         for (int crash = 0; crash < crashes; ++crash)
             ledger.record_crash("content", base::clock::now() - ago);
         for (int number = 0; number < runs; ++number) {
             auto const request = std::to_string(number);
-            ledger.begin_crashing_call(request, false, "orders", "content");
+            ledger.begin_call(request, false, "orders");
+            ledger.mark_crashing(request, {"content", kind});
             run(request);
         }
     }
+    /// Sound streams before any crash, and from so long after the last crash on, while calls that crash targets come.
+    void begin_streams(int before, int beside, int began_beside, base::duration after_crash) {
+        auto const now = base::clock::now();
+        ledger.record_crash("content", now - after_crash);
+        ledger.mark_crashing("first", {"content", soak::content_kind::prompt_part}, now - 20s);
+        ledger.mark_crashing("last", {"content", soak::content_kind::prompt_part}, now + 1s);
+        for (int number = 0; number < before + beside; ++number) {
+            auto const request = "sound-" + std::to_string(number);
+            ledger.begin_call(request, false, "engine");
+            ledger.send_call(request, {0, false, false, {}, number < before ? now - 30s : now});
+            if (number < before + began_beside)
+                ledger.begin_answer(request);
+            ledger.end_call(request, call_end::failed);
+        }
+        ledger.check_sound_streams();
+    }
     void arrive_at_limited(int requests, base::duration named_ago) {
         ledger.name_limit(target.id(), 2, base::clock::now() - named_ago);
         for (int number = 0; number < requests; ++number)
@@ -104,6 +122,20 @@
             bool broken;
         };
         std::vector<row> const table{
+            {"a part of prompts reaches targets again",
+             [](world& played) { played.run_crashing(5, 5s, 4, soak::content_kind::prompt_part); }, true},
+            {"a part of prompts reaches targets three times",
+             [](world& played) { played.run_crashing(5, 5s, 3, soak::content_kind::prompt_part); }, false},
+            {"a part of prompts after four crashes",
+             [](world& played) { played.run_crashing(4, 5s, 4, soak::content_kind::prompt_part); }, false},
+            {"a part of prompts just after its fifth crash",
+             [](world& played) { played.run_crashing(5, 3s, 4, soak::content_kind::prompt_part); }, false},
+            {"few sound streams begin beside a crashing part",
+             [](world& played) { played.begin_streams(20, 20, 9, 9s); }, true},
+            {"half of the sound streams begin beside it", [](world& played) { played.begin_streams(20, 20, 10, 9s); },
+             false},
+            {"too few sound streams to judge", [](world& played) { played.begin_streams(20, 19, 0, 9s); }, false},
+            {"sound streams soon after the crash", [](world& played) { played.begin_streams(20, 20, 0, 7s); }, false},
             {"runs once",
              [](world& played) {
                  played.ledger.begin_call("a", false, "orders");
