--- a/Libraries/forwarding_entry/publication_controller.cpp
+++ b/Libraries/forwarding_entry/publication_controller.cpp
@@ -184,6 +184,7 @@
                     {"address", record.address},
                     {"service", record.service},
                     {"failure_domain", record.failure_domain},
+                    {"software_version", record.software_version},
                     {"revision", revision},
                     {"source", source}});
     board_.fleet.update_target(record, base::clock::now());
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -89,6 +89,10 @@
 asio::awaitable<void> stream_exchange::run() {
     self_pointer const self{this};
     parts_.streams.add(*this);
+    if (request_.caller.resume_after)
+        log::write(log::event_kind::stream_taken_up, {{"request", request_.caller.id},
+                                                      {"resumes", request_.caller.resumed_request},
+                                                      {"last_event", *request_.caller.resume_after}});
     parts_.board.retry_budget(request_.service).count_request(request_.arrived);
     request_.client->watch_for_close([self] { self->on_caller_left(); });
     wake_timer_.expires_at(request_.deadline);
@@ -183,6 +187,7 @@
     if (auto const* view = parts_.board.fleet.find(target)) {
         created->address = view->record.address;
         created->target_started_at = view->record.started_at;
+        created->software_version = view->record.software_version;
     }
     created->answer_memory = base::byte_lease{parts_.answer_memory};
     created->context.target = target;
@@ -380,6 +385,7 @@
         if (event_count_ == 0)
             log::write(log::event_kind::stream_started, {{"request", request_.caller.id},
                                                          {"target", current.target},
+                                                         {"software_version", current.software_version},
                                                          {"after_ms", milliseconds_since(request_.arrived, now)},
                                                          {"engine_ms", milliseconds_since(current.sent_at, now)}});
         if (event_count_ > 0)
@@ -405,6 +411,7 @@
     log::write(log::event_kind::stream_switched,
                {{"request", request_.caller.id},
                 {"target", successor.target},
+                {"software_version", successor.software_version},
                 {"first_event", event.id.value_or(0)},
                 {"last_event", relay_.last_event().value_or(0)},
                 {"gap_ms", event_count_ == 0 ? 0 : milliseconds_since(last_event_at_, now)}});
--- a/Libraries/forwarding_entry/stream_run.h
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -26,6 +26,8 @@
     /// Start of the target's incarnation, see target_record.
     std::int64_t target_started_at{0};
     std::string address;
+    /// See target_record.
+    std::string software_version;
     platform::forwarded_context context;
     /// Target to which the memory of the run is replicated. Empty without a backup and after the backup was used.
     std::string backup_target;
--- a/Libraries/log/event_kind.cpp
+++ b/Libraries/log/event_kind.cpp
@@ -77,6 +77,7 @@
     {target_outdated, 618, info, "target_outdated"},
     {target_hold_off, 619, info, "target_hold_off"},
     {request_cut_off, 825, warning, "request_cut_off"},
+    {stream_taken_up, 826, info, "stream_taken_up"},
 }};
 
 } // namespace
--- a/Libraries/log/event_kind.h
+++ b/Libraries/log/event_kind.h
@@ -78,8 +78,9 @@
     target_outdated,
     target_hold_off,
     request_cut_off,
+    stream_taken_up,
 };
-inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::request_cut_off) + 1;
+inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::stream_taken_up) + 1;
 
 /// Number, level and name of one kind of event.
 struct event_definition {
