Reproduce streams of two software versions with real processes

process_software_versions fails on this code, with a resumable stream whose engine crashes and with one that its caller takes up at another entry.

--- /dev/null
+++ b/Tests/process/software_versions/software_versions_test.cpp
@@ -0,0 +1,227 @@
+#include "support/platform_process/platform_world.h"
+#include "support/table_test.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace cyclamenledge::tests::process {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t entry_count = 3;
+constexpr std::size_t engine_count = 6;
+constexpr std::size_t streams = 6;
+// Events come each 25 ms, so the streams last for two seconds.
+constexpr std::uint64_t events = 80;
+constexpr auto time_until_events = 600ms;
+// Time for the announcements of targets to reach the entries, and for the agents' reports.
+constexpr auto announcement_time = 1500ms;
+constexpr std::array<char const*, 2> versions{"v1", "v2"};
+
+/// The versions that have written events of the answer.
+std::set<std::string> writers_of(std::string const& body) {
+    static std::string const mark = "data: written by ";
+    std::set<std::string> found;
+    for (auto at = body.find(mark); at != std::string::npos; at = body.find(mark, at + 1)) {
+        auto const begin = at + mark.size();
+        found.insert(body.substr(begin, body.find('\n', begin) - begin));
+    }
+    return found;
+}
+
+/// The number of the last whole event of the answer.
+std::uint64_t last_event_of(std::string const& body) {
+    auto const end = body.rfind("\n\n");
+    auto const at = end == std::string::npos ? end : body.rfind("id: ", end);
+    return at == std::string::npos ? 0 : std::stoull(body.substr(at + 4));
+}
+
+/// Brings back the engines that have crashed or leave.
+void renew_engines(platform_world& world) {
+    world.act([&] {
+        for (auto const& site : world.fleet().targets()) {
+            if (site->target->leaving())
+                site->target->crash();
+            if (!site->target->up())
+                world.fleet().withdraw(*site);
+        }
+    });
+    // The addresses of ended engines are free a moment later.
+    std::this_thread::sleep_for(200ms);
+    world.act([&] { world.fleet().repair(); });
+    std::this_thread::sleep_for(announcement_time);
+}
+
+/// Half of the engines run each version.
+void mix_versions(platform_world& world) {
+    world.act([&] {
+        for (std::size_t number = 0; number < engine_count; ++number) {
+            auto& site = *world.fleet().targets().at(number);
+            site.target->set_version(versions.at(number % versions.size()));
+            site.target->crash();
+        }
+    });
+    renew_engines(world);
+    for (std::size_t entry = 0; entry < entry_count; ++entry)
+        world.wait_until_serving(entry);
+}
+
+void for_engine_of(platform_world& world, std::string const& request,
+                   void (*act)(platform_world&, soak::target_site&)) {
+    world.act([&] {
+        for (auto const& site : world.fleet().targets()) {
+            if (site->target->running(request))
+                act(world, *site);
+        }
+    });
+}
+
+void crash(platform_world&, soak::target_site& site) {
+    site.target->crash();
+}
+
+void leave(platform_world& world, soak::target_site& site) {
+    site.target->leave(2s);
+    world.fleet().announce(site);
+}
+
+void stall(platform_world&, soak::target_site& site) {
+    site.proxy->set_mode(soak::proxy_mode::silence);
+}
+
+} // namespace
+
+/// Guards against streams that hold events which two software versions of a service have written.
+class software_versions_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(software_versions_test);
+    CPPUNIT_TEST(stream_goes_on_at_the_version_that_began_it);
+    CPPUNIT_TEST(caller_takes_a_stream_up_at_the_version_that_began_it);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void stream_goes_on_at_the_version_that_began_it() {
+        struct row {
+            char const* name;
+            char const* route;
+            bool may_run_again;
+            void (*harm)(platform_world&, soak::target_site&);
+        };
+        std::vector<row> const table{
+            {"resumable stream at an engine that crashes", "/resume/", true, &crash},
+            {"stream with a replica at an engine that crashes", "/gen/", false, &crash},
+            {"stream at an engine that leaves", "/gen/", false, &leave},
+            {"resumable stream at an engine that leaves", "/resume/", true, &leave},
+            {"stream at an engine that goes silent", "/gen/", false, &stall},
+            {"resumable stream at an engine that goes silent", "/resume/", true, &stall},
+        };
+        for_each_row(table, [](row const& tested) {
+            platform_world world{{.entries = entry_count, .engines = engine_count, .services = 1}};
+            mix_versions(world);
+            std::uint32_t moved = 0;
+            for (std::size_t number = 0; number < streams; ++number) {
+                auto const request = "mixed-" + std::to_string(number);
+                http_answer answer;
+                std::thread caller{[&] {
+                    answer = world.call({request,
+                                         tested.route + std::to_string(events),
+                                         200,
+                                         {},
+                                         number % entry_count,
+                                         tested.may_run_again});
+                }};
+                std::this_thread::sleep_for(time_until_events);
+                for_engine_of(world, request, tested.harm);
+                caller.join();
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, writers_of(answer.body + answer.partial_body).size());
+                moved += last_event_of(answer.body) == events ? 1 : 0;
+                renew_engines(world);
+            }
+            // Another engine of the version is there.
+            CPPUNIT_ASSERT_GREATEREQUAL(static_cast<std::uint32_t>(streams) - 1, moved);
+        });
+    }
+
+    void caller_takes_a_stream_up_at_the_version_that_began_it() {
+        struct row {
+            char const* name;
+            /// What happens between the two tries.
+            void (*disturb)(platform_world&, std::size_t entry);
+        };
+        std::vector<row> const table{
+            {"at another entry", [](platform_world&, std::size_t) {}},
+            {"after the first entry was killed",
+             [](platform_world& world, std::size_t entry) {
+                 world.act([&] {
+                     auto& process = world.fleet().entries().at(entry)->process;
+                     process.ended_on_purpose = true;
+                     process.process->kill();
+                     world.fleet().start_daemon(process);
+                 });
+             }},
+            {"after the agents were killed",
+             [](platform_world& world, std::size_t) {
+                 world.act([&] {
+                     for (auto const& site : world.fleet().targets()) {
+                         if (!site->agent.process)
+                             continue;
+                         site->agent.ended_on_purpose = true;
+                         site->agent.process->kill();
+                         world.fleet().start_daemon(site->agent);
+                     }
+                 });
+                 std::this_thread::sleep_for(announcement_time);
+             }},
+        };
+        for_each_row(table, [](row const& tested) {
+            platform_world world{{.entries = entry_count, .engines = engine_count, .services = 1}};
+            mix_versions(world);
+            for (std::size_t number = 0; number < streams; ++number)
+                take_up(world, number, tested.disturb);
+        });
+    }
+
+private:
+    /// A caller loses its stream with its entry's connection and takes it up twice, through other entries.
+    static void take_up(platform_world& world, std::size_t number, void (*disturb)(platform_world&, std::size_t)) {
+        auto const request = "first-" + std::to_string(number);
+        auto const entry = number % entry_count;
+        auto const path = "/resume/" + std::to_string(events);
+        auto const cut = [&](std::size_t cut_entry) {
+            world.act([&] { world.fleet().entries().at(cut_entry)->caller_proxy->reset_connections(); });
+        };
+        auto writers = std::set<std::string>{};
+        std::uint64_t last = 0;
+        for (std::size_t attempt = 0; attempt < 3; ++attempt) {
+            auto const used = (entry + attempt) % entry_count;
+            auto const id = attempt == 0 ? request : request + "-again-" + std::to_string(attempt);
+            http_answer answer;
+            std::thread caller{[&] {
+                answer = world.call({id, path, 200, {}, used, true, {}, last, attempt == 0 ? "" : request});
+            }};
+            if (attempt < 2) {
+                std::this_thread::sleep_for(time_until_events);
+                cut(used);
+            }
+            caller.join();
+            if (attempt == 0)
+                disturb(world, used);
+            auto const received = answer.body + answer.partial_body;
+            writers.merge(writers_of(received));
+            last = std::max(last, last_event_of(received));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, writers.size());
+        // Engines of the version serve, so the stream goes on to its end.
+        CPPUNIT_ASSERT_EQUAL(events, last);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(software_versions_test);
+
+} // namespace cyclamenledge::tests::process
--- a/Tests/support/platform/caller_messages.cpp
+++ b/Tests/support/platform/caller_messages.cpp
@@ -22,6 +22,10 @@
         message.set("X-Model", "m");
         if (!call.prompt_parts.empty())
             message.set("X-Prefix-Hash", call.prompt_parts);
+        if (call.last_event > 0)
+            message.set("Last-Event-Id", std::to_string(call.last_event));
+        if (!call.resumed_request.empty())
+            message.set("Resumes", call.resumed_request);
     }
     message.body() = call.body.empty() ? "body of " + call.id : call.body;
     message.prepare_payload();
--- a/Tests/support/platform/caller_messages.h
+++ b/Tests/support/platform/caller_messages.h
@@ -21,6 +21,10 @@
     std::string body{};
     /// Parts of the prompt, each as ID:TOKENS, separated by commas. Empty for none.
     std::string prompt_parts{};
+    /// The last event of a stream that the caller takes up again, and its request that brought the first one. Zero and
+    /// empty for none.
+    std::uint64_t last_event{0};
+    std::string resumed_request{};
 };
 
 /// The request as a caller of the platform sends it.
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -128,6 +128,7 @@
                                         {"address", where_.address},
                                         {"zone", where_.failure_domain},
                                         {"slots", where_.slots},
+                                        {"version", where_.version},
                                         {"state", leaves_at_ ? "draining" : "ready"},
                                         {"coldLeftMs", 0},
                                         {"born", started_at_}});
@@ -335,6 +336,7 @@
         co_return;
     }
     auto const incarnation = incarnation_;
+    auto const version = where_.version;
     auto const total = size_of(received);
     auto const first = number(header(received, "Last-Event-Id")) + 1;
     // Beside a first event that the caller has, a resumed stream is a run of its own at a route that allows it.
@@ -374,7 +376,8 @@
         }
         if (paused && event == first + 1)
             co_await pause(event_pause);
-        auto const text = "id: " + std::to_string(event) + "\ndata: " + request + ":" + std::to_string(event) + "\n\n";
+        auto const text = "id: " + std::to_string(event) + "\ndata: " + request + ":" + std::to_string(event) +
+                          "\ndata: written by " + version + "\n\n";
         sound = static_cast<bool>(co_await client->send_chunk(text));
         co_await pause(event_interval);
         if (incarnation != incarnation_) {
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -117,6 +117,8 @@
         std::string listen_address;
         bool engine{false};
         std::uint32_t slots{24};
+        /// Of its software, announced and written into each event of a stream.
+        std::string version{"v1"};
     };
 
     target_standin(boost::asio::io_context& context, place where, target_directory& directory,
@@ -130,6 +132,8 @@
     using crash_handler = std::function<void(std::string const& request)>;
     void set_crash_handler(crash_handler handler) { on_crash_ = std::move(handler); }
     void leave(base::milliseconds notice);
+    /// Runs other software from its next start on.
+    void set_version(std::string version) { where_.version = std::move(version); }
     bool up() const { return up_; }
     bool leaving() const { return leaves_at_.has_value(); }
     bool running(std::string const& request) const { return runs_.contains(request); }
--- a/Tests/support/platform_process/platform_world.cpp
+++ b/Tests/support/platform_process/platform_world.cpp
@@ -52,9 +52,9 @@
         ledger_.notices().assign_entry(request.id, fleet_->entries().at(request.entry)->process.name,
                                        base::clock::now());
     });
-    auto const message =
-        platform::standin::encode_call({request.id, soak::caller_host, request.path, soak::caller_key,
-                                        deadline_milliseconds, request.prompt_tokens, 400, request.body, request.prompt_parts});
+    auto const message = platform::standin::encode_call(
+        {request.id, soak::caller_host, request.path, soak::caller_key, deadline_milliseconds, request.prompt_tokens,
+         400, request.body, request.prompt_parts, request.last_event, request.resumed_request});
     http_call sent;
     sent.method = "POST";
     sent.path = request.path;
--- a/Tests/support/platform_process/platform_world.h
+++ b/Tests/support/platform_process/platform_world.h
@@ -30,6 +30,9 @@
         bool may_run_again{false};
         /// See platform::standin::caller_call.
         std::string prompt_parts{};
+        /// See platform::standin::caller_call.
+        std::uint64_t last_event{0};
+        std::string resumed_request{};
     };
 
     /// Waits until each entry serves.
--- a/Tests/support/process/http_client.cpp
+++ b/Tests/support/process/http_client.cpp
@@ -109,6 +109,8 @@
     auto [read_code, read] = co_await http::async_read(stream, buffer, parser, use_tuple);
     if (read_code) {
         answer.failure = write_code ? write_code.message() : read_code.message();
+        if (parser.is_header_done())
+            answer.partial_body = parser.get().body();
         co_return answer;
     }
     answer.status = parser.get().result_int();
--- a/Tests/support/process/http_client.h
+++ b/Tests/support/process/http_client.h
@@ -42,6 +42,8 @@
     header_list headers;
     /// Why no answer came.
     std::string failure;
+    /// What arrived of the body of an answer that broke off.
+    std::string partial_body;
 
     std::string header(std::string_view name) const;
     /// The body as JSON; null when it is not JSON.
