Let a stream go on only at the software version that began it

Cause: the record of a target had no software version, so retries, replacements, replicas and copies took any target of the service; and no entry knew which version had begun a stream that a caller takes up again elsewhere. Evidence: the case of the first run went from v1 to v1.2 within one answer when its engine left; process_software_versions failed for a resumable stream whose engine crashes, and for one that its caller takes up.

The version is now part of the record of an incarnation, and the first event that is passed on binds the stream to the version of its run. Each later choice of a target takes it as a constraint, and no event of another version is passed on. A target whose agent reports a later start than the store lists takes nothing until it is listed. The entry of the first event remembers the version and tells it to three agents; an entry that does not know it asks the other entries and six agents. Without an answer, the only version of the service in the time limit of the route is used; otherwise the request is refused at once. A stream that goes on waits for room as long as its caller waits for the next event; before, the time from the arrival of the request counted.

Its rows now share one world of twelve engines: replicas stay in a failure domain, so two engines of each version in each are needed, and retries are a share of earlier calls.

--- a/Development/soak/caller.cpp
+++ b/Development/soak/caller.cpp
@@ -30,6 +30,8 @@
 constexpr base::milliseconds longest_pause{60};
 constexpr std::uint64_t calls_per_crashing_call = 60;
 constexpr std::uint64_t orders_per_slow_order = 10;
+constexpr std::uint64_t streams_per_broken_one = 6;
+constexpr std::size_t tries_to_take_up = 2;
 // Parts of prompts that sound calls share with each other; the first ones also with those that crash targets.
 constexpr std::uint64_t first_parts = 2;
 constexpr std::uint64_t middle_parts = 12;
@@ -51,6 +53,15 @@
             base::milliseconds{route.timeout_milliseconds}, route.maximum_attempts};
 }
 
+/// The software version that has written the event.
+std::string version_of(std::string_view event) {
+    auto const at = event.find(platform::standin::version_mark);
+    if (at == std::string_view::npos)
+        return {};
+    auto const begin = at + platform::standin::version_mark.size();
+    return std::string{event.substr(begin, event.find('\n', begin) - begin)};
+}
+
 /// Whether the status states that the request has not run and never will.
 bool refused(unsigned status) {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -136,8 +147,17 @@
     auto const request = made.request;
     auto const entry = made.entry;
     auto const life = process.life;
+    stream_progress progress;
+    made.progress = &progress;
+    if (kind == route::resumable && random_.below(streams_per_broken_one) == 0)
+        made.breaks_after = 1 + random_.below(made.size);
+    auto broken = made;
     auto const end = co_await perform(std::move(made));
     ledger_.end_call(request, end);
+    bool const broke_here = end == call_end::left && progress.last_event == broken.breaks_after;
+    if (kind == route::resumable && progress.last_event > 0 && (end == call_end::broken || broke_here))
+        co_await take_up(std::move(broken), progress);
+    ledger_.record_versions(progress.versions.size());
     if (end != call_end::broken)
         ledger_.notices().on_answer(request, base::clock::now());
     // Calls that a planned stop meets are served or refused, not lost.
@@ -147,6 +167,29 @@
                           ": " + request);
 }
 
+asio::awaitable<void> caller::take_up(exchange broken, stream_progress& progress) {
+    broken.resumed_request = broken.request;
+    broken.breaks_after = 0;
+    for (std::size_t number = 0; number < tries_to_take_up; ++number) {
+        auto made = broken;
+        made.request = next_id();
+        made.entry = random_.below(world_.entries().size());
+        made.last_event = progress.last_event;
+        ledger_.begin_call(made.request, true, engine_service);
+        auto const serving = std::ranges::count_if(world_.targets(), [&](auto const& site) {
+            return site->target->up() && !site->target->leaving() && site->target->where().engine &&
+                   progress.versions.contains(site->target->where().version);
+        });
+        if (serving >= 2)
+            ledger_.mark_taken_up(made.request);
+        auto const request = made.request;
+        auto const end = co_await perform(std::move(made));
+        ledger_.end_call(request, end);
+        if (end == call_end::served || end == call_end::left)
+            co_return;
+    }
+}
+
 asio::awaitable<void> caller::call_crashing() {
     // Both contents come again and again, from any caller and through any entry.
     auto const& definition =
@@ -210,7 +253,9 @@
                                            made.plain ? 0U : 400U + static_cast<std::uint32_t>(random_.below(3000)),
                                            made.plain ? 0U : 600U,
                                            made.body,
-                                           made.prompt_parts};
+                                           made.prompt_parts,
+                                           made.last_event,
+                                           made.resumed_request};
     auto const message = platform::standin::encode_call(content);
     ledger_.send_call(made.request, {made.entry, made.plain, made.kept, made.bounds});
     if (auto const sent = co_await connection.value()->send(message, connect_timeout); !sent) {
@@ -268,7 +313,7 @@
         co_return refused(status) ? call_end::refused : call_end::failed;
     }
     forwarding::event_splitter splitter;
-    std::uint64_t expected = 1;
+    auto expected = made.last_event + 1;
     // Some callers leave in the middle.
     auto const leaves_after = random_.below(20) == 0 ? made.size / 2 + 1 : made.size + 1;
     while (true) {
@@ -283,7 +328,13 @@
             if (event->id != expected || event->bytes.find(wanted) == std::string_view::npos)
                 ledger_.violation("event " + std::to_string(expected) + " of " + made.request +
                                   " is missing or wrong: " + std::string{event->bytes});
+            if (made.progress != nullptr) {
+                made.progress->last_event = expected;
+                made.progress->versions.insert(version_of(event->bytes));
+            }
             ++expected;
+            if (expected == made.breaks_after + 1)
+                co_return call_end::left;
         }
         if (expected > leaves_after)
             co_return call_end::left;
--- a/Development/soak/caller.h
+++ b/Development/soak/caller.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace cyclamenledge::soak {
@@ -31,6 +32,13 @@
 private:
     enum class route : std::uint8_t { generation, resumable, order, read };
 
+    /// What a caller has received of a stream, over all its tries.
+    struct stream_progress {
+        std::uint64_t last_event{0};
+        /// The software versions that have written events.
+        std::set<std::string> versions;
+    };
+
     struct exchange {
         std::size_t entry{0};
         std::string request;
@@ -39,6 +47,13 @@
         std::string body;
         std::string prompt_parts;
         std::uint64_t size{0};
+        /// Of a stream that is taken up again, the last event and the call that brought the first one.
+        std::uint64_t last_event{0};
+        std::string resumed_request;
+        /// Collects what the caller receives of a stream. Not owned.
+        stream_progress* progress{nullptr};
+        /// The caller's connection breaks after this event. Zero for never.
+        std::uint64_t breaks_after{0};
         bool plain{true};
         bool kept{false};
         call_bounds bounds;
@@ -46,6 +61,8 @@
 
     boost::asio::awaitable<void> call(route kind, std::size_t entry);
     std::size_t choose_entry();
+    /// Goes on with a stream whose connection broke, through other entries, as far as it gets.
+    boost::asio::awaitable<void> take_up(exchange broken, stream_progress& progress);
     boost::asio::awaitable<void> call_crashing();
     /// Sends a generation that has only a crashing part of its prompt in common with others.
     boost::asio::awaitable<void> call_crashing_part();
--- a/Development/soak/fleet.cpp
+++ b/Development/soak/fleet.cpp
@@ -116,6 +116,7 @@
                                                    at(ip, target_port), at(ip, target_port + behind_proxy), engine};
     if (!engine)
         where.slots = size_.service_slots;
+    where.version = any_version();
     site->proxy = std::make_unique<fault_proxy>(context_, where.listen_address);
     BOOST_OUTCOME_TRYV(site->proxy->listen(where.address));
     site->target = std::make_unique<platform::standin::target_standin>(context_, std::move(where), directory_, ledger_,
@@ -142,6 +143,10 @@
     return base::success();
 }
 
+std::string fleet::any_version() {
+    return "v" + std::to_string(1 + random_.below(size_.versions));
+}
+
 void fleet::start_daemon(daemon& wanted) {
     wanted.process.reset();
     ++wanted.life;
@@ -199,6 +204,9 @@
 void fleet::restart(target_site& site) {
     if (site.target->up() || !site.proxy->resume_listening())
         return;
+    // The process tests choose the versions themselves.
+    if (size_.versions > 1)
+        site.target->set_version(any_version());
     // The new incarnation has no limit.
     name_limit(site, {});
     if (site.target->start(unix_now()))
--- a/Development/soak/fleet.h
+++ b/Development/soak/fleet.h
@@ -30,6 +30,8 @@
     std::size_t seeds{3};
     /// Without agents, entries learn nothing of the engines but what the metadata store lists.
     bool agents{true};
+    /// Software versions that the engines run. An engine that starts again may run another one.
+    std::size_t versions{1};
     /// Slots that each target of the plain service announces.
     std::uint32_t service_slots{24};
     /// The program that runs as entries and agents.
@@ -105,6 +107,7 @@
     base::result<void> add_entry(std::size_t number, std::vector<std::string> const& seeds);
     base::result<void> add_target(std::size_t number, bool engine);
     void on_crash(target_site& site, bool by_request);
+    std::string any_version();
     boost::asio::awaitable<void> restart_later(target_site& site);
 
     boost::asio::io_context& context_;
--- a/Development/soak/main.cpp
+++ b/Development/soak/main.cpp
@@ -34,7 +34,7 @@
     std::uint64_t seeds{1};
     std::uint64_t seconds{20};
     std::size_t callers{24};
-    fleet_size size;
+    fleet_size size{.versions = 2};
     std::string kept_output;
     std::string regressions;
     /// Empty for the fault plan.
@@ -123,6 +123,7 @@
             ledger_.violation("after the last fault " + std::to_string(served_then) + " of " +
                               std::to_string(ended_then) + " calls were served");
         ledger_.check_sound_streams();
+        ledger_.check_taken_up_streams();
         stop_ = true;
         co_await pause(base::milliseconds{300});
         context_.stop();
@@ -258,6 +259,7 @@
     std::ranges::transform(loads(), std::back_inserter(names), &load::name);
     app.add_option("--load", wanted.load, "Load to play instead of the fault plan")->check(CLI::IsMember(names));
     app.add_option("--stops", wanted.stop_milliseconds, "From one stop of an entry to the next, in milliseconds");
+    app.add_option("--versions", wanted.size.versions, "Software versions of the engines");
     app.add_option("--slots", wanted.size.service_slots, "Slots that each target of the plain service announces");
     CLI11_PARSE(app, count, arguments);
     std::vector<seed_case> cases;
--- a/Development/soak/run_ledger.cpp
+++ b/Development/soak/run_ledger.cpp
@@ -31,6 +31,9 @@
 // Beside such requests, sound streams begin at least this much as often as at other times.
 constexpr double least_sound_share = 0.5;
 constexpr std::uint32_t judged_sound_streams = 20;
+constexpr std::uint32_t judged_taken_up_streams = 12;
+// Streams with events of two software versions, in one answer or over a caller's tries.
+constexpr std::uint32_t permitted_mixed_streams = 2;
 // A target that has named a limit gets at most this many requests in a window.
 constexpr base::seconds limit_window{4};
 // Time in which every entry learns of a limit.
@@ -70,6 +73,30 @@
     });
 }
 
+void run_ledger::record_versions(std::size_t count) {
+    if (count > 1 && ++mixed_streams_ == permitted_mixed_streams + 1)
+        violation("more than " + std::to_string(permitted_mixed_streams) +
+                  " streams hold events of several software versions");
+}
+
+void run_ledger::check_taken_up_streams() {
+    stream_share taken_up;
+    stream_share begun;
+    for (auto const& [request, call] : calls_) {
+        bool const judged =
+            call.sent && !call.sent->plain && call.ended && call.crashing_content.empty() && call.sent->in_touch;
+        if (!judged)
+            continue;
+        auto& share = call.taken_up ? taken_up : begun;
+        ++share.sent;
+        share.began += call.answer_began ? 1 : 0;
+    }
+    if (taken_up.sent >= judged_taken_up_streams && taken_up.value() < least_sound_share * begun.value())
+        violation("of " + std::to_string(taken_up.sent) + " streams that callers took up again " +
+                  std::to_string(taken_up.began) + " went on, of " + std::to_string(begun.sent) + " new ones " +
+                  std::to_string(begun.began) + " began");
+}
+
 void run_ledger::check_sound_streams() {
     stream_share beside;
     stream_share outside;
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -43,7 +43,8 @@
     bool kept{false};
     call_bounds bounds{};
     base::time_point at{base::clock::now()};
-    /// Nothing unplanned was at work for the contact time.
+    /// The entry was in touch, and so were the targets if it was calm.
+    bool in_touch{false};
     bool calm{false};
 };
 
@@ -60,6 +61,7 @@
     std::uint32_t arrivals{0};
     /// Names what the call has in common with others that crash targets. Empty for others.
     std::string crashing_content;
+    bool taken_up{false};
     /// The target has begun to write the answer of a stream.
     bool answer_began{false};
     std::uint32_t runs{0};
@@ -113,11 +115,18 @@
     void mark_crashing(std::string const& request, crashing_content const& content,
                        base::time_point at = base::clock::now());
     void begin_answer(std::string const& request) { calls_[request].answer_began = true; }
+    /// The call takes a stream up again, while two targets of its software version serve.
+    void mark_taken_up(std::string const& request) { calls_[request].taken_up = true; }
+    /// A stream holds events of so many software versions, over all tries of its caller.
+    void record_versions(std::size_t count);
+    /// Compares the streams that callers take up again with those that begin.
+    void check_taken_up_streams();
     /// Compares the sound streams that begin beside calls which crash targets with those that begin at other times.
     void check_sound_streams();
     void send_call(std::string const& request, sending const& sent) {
         auto& kept = calls_[request].sent.emplace(sent);
-        kept.calm = in_touch(sent.entry, sent.at) && calm_since(sent.at - contact_time);
+        kept.in_touch = in_touch(sent.entry, sent.at);
+        kept.calm = kept.in_touch && calm_since(sent.at - contact_time);
     }
     void answer_call(std::string const& request, unsigned status) { calls_[request].status = status; }
     void end_call(std::string const& request, call_end end, base::time_point at = base::clock::now());
@@ -266,6 +275,7 @@
     std::uint32_t beyond_attempts_{0};
     std::uint32_t handed_too_much_time_{0};
     std::uint32_t judged_time_left_{0};
+    std::uint32_t mixed_streams_{0};
     notice_ledger notices_;
     std::vector<std::string> violations_;
 };
--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -67,6 +67,10 @@
 void fleet_view::update_target(target_record const& record, base::time_point now) {
     auto const [found, inserted] = targets_.try_emplace(record.id);
     auto& target = found->second;
+    services_listed_since_.try_emplace(record.service, now);
+    if (!inserted)
+        versions_listed_at_[target.record.service][target.record.software_version] = now;
+    versions_listed_at_[record.service][record.software_version] = now;
     if (!inserted && target.record.started_at != record.started_at) {
         // A new incarnation with the same id starts without the load, failures and memory of the previous one.
         auto const open = target.open_requests;
@@ -86,6 +90,7 @@
     auto const found = targets_.find(id);
     if (found == targets_.end() || found->second.removed)
         return;
+    versions_listed_at_[found->second.record.service][found->second.record.software_version] = now;
     found->second.removed = true;
     found->second.store_unreachable_at_removal = store_unreachable;
     found->second.removed_at = now;
@@ -101,7 +106,10 @@
 void fleet_view::update_report(std::string const& address, engine_report const& report, base::time_point now) {
     observe_entries(report.entries, now);
     for (auto& [id, target] : targets_) {
-        if (target.record.address != address || target.record.started_at != report.started_at)
+        if (target.record.address != address)
+            continue;
+        target.replaced = target.record.started_at > 0 && report.started_at > target.record.started_at;
+        if (target.record.started_at != report.started_at)
             continue;
         target.report = report;
         target.reported_at = now;
@@ -181,13 +189,38 @@
 bool fleet_view::eligible(target_view const& target, placement_request const& request, base::time_point now) const {
     if (target.record.service != request.service || evacuated_.contains(target.record.failure_domain))
         return false;
-    if (target.leaving(now))
+    if (target.leaving(now) || target.replaced)
+        return false;
+    if (request.software_version != nullptr && target.record.software_version != *request.software_version)
         return false;
     if (!contains(request.route_homes, target.region) || !contains(request.organisation_homes, target.region))
         return false;
     return std::ranges::find(request.excluded, target.record.id) == request.excluded.end();
 }
 
+std::optional<std::string> fleet_view::find_sole_version(std::string const& service, base::milliseconds time,
+                                                         base::time_point now, std::int64_t unix_now_ms) const {
+    auto const listed_since = services_listed_since_.find(service);
+    if (listed_since == services_listed_since_.end())
+        return std::nullopt;
+    std::set<std::string> versions;
+    bool long_there = now - listed_since->second >= time;
+    for (auto const& [id, target] : targets_) {
+        if (target.removed || target.record.service != service)
+            continue;
+        versions.insert(target.record.software_version);
+        auto const& started_at = target.record.started_at;
+        long_there = long_there || (started_at > 0 && started_at <= unix_now_ms - time.count());
+    }
+    for (auto const& [version, listed_at] : versions_listed_at_.at(service)) {
+        if (now - listed_at < time)
+            versions.insert(version);
+    }
+    if (versions.size() != 1 || !long_there)
+        return std::nullopt;
+    return *versions.begin();
+}
+
 bool fleet_view::reported(target_view const& target, base::time_point now) {
     return target.report && now - target.reported_at < report_lifetime;
 }
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -34,6 +34,8 @@
     /// regions, a target must be in both lists.
     std::vector<std::string> const* route_homes{nullptr};
     std::vector<std::string> const* organisation_homes{nullptr};
+    /// The version that began the stream which the request continues. Null allows all.
+    std::string const* software_version{nullptr};
     /// Ids of targets that must not be used for this request.
     std::span<std::string const> excluded;
     /// Also considers engines without room (overcommit), because the request cannot wait any longer.
@@ -102,6 +104,8 @@
     base::time_point reported_at{};
     /// Number of open requests that this process sent to the target.
     std::uint32_t open_requests{0};
+    /// Another incarnation has started at the address, as the agent there reports. Its software may be another one.
+    bool replaced{false};
     /// Memory that this process set aside for a request that the last report does not show yet.
     struct reservation {
         std::uint64_t number{0};
@@ -205,6 +209,10 @@
     std::uint32_t slots_of(std::string const& id) const;
     /// Whether there is a current report of the agent on the target's VM.
     bool reported(std::string const& id, base::time_point now) const;
+    /// The only software version that targets of the service have had for the time, as far as this process knows. No
+    /// value if there were others, or if neither this process nor a target was there then.
+    std::optional<std::string> find_sole_version(std::string const& service, base::milliseconds time,
+                                                 base::time_point now, std::int64_t unix_now_ms) const;
     /// Whether a copy of a request's memory at the target may be used.
     bool may_receive(std::string const& id, base::time_point now) const;
     bool evacuated(std::string const& failure_domain) const { return evacuated_.contains(failure_domain); }
@@ -266,6 +274,10 @@
     std::set<std::string> evacuated_;
     entry_count entries_;
     std::uint64_t next_reservation_{1};
+    /// When each version of a service was last listed, for those that no target runs any more as well.
+    std::map<std::string, std::map<std::string, base::time_point>> versions_listed_at_;
+    /// When the first target of each service was listed.
+    std::map<std::string, base::time_point> services_listed_since_;
 };
 
 } // namespace cyclamenledge::forwarding
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -66,6 +66,7 @@
     , target_(std::move(target))
     , crash_notices_(daemon, suspects_, &connected_entries)
     , permits_(daemon.hub())
+    , stream_origins_(daemon.hub())
     , operators_(daemon, *this)
     , operator_server_(daemon.context(), {}, operators_) {}
 
@@ -74,6 +75,7 @@
     hub.add_observer(*this);
     crash_notices_.start();
     permits_.start();
+    stream_origins_.start();
     hub.handle<wire::schema::LinkTurnRequestT>(
         [this](link::connection& entry, wire::schema::LinkTurnRequestT const& slot_request) {
             copy_queue_.add({entry.number(), slot_request.request, slot_request.tokens,
--- a/Libraries/forwarding_agent/forwarding_agent_role.h
+++ b/Libraries/forwarding_agent/forwarding_agent_role.h
@@ -5,6 +5,7 @@
 #include "forwarding/entry_count.h"
 #include "forwarding/reservation_ledger.h"
 #include "forwarding_agent/permit_service.h"
+#include "forwarding_agent/stream_origin_service.h"
 #include "http/server.h"
 #include "http/upstream_connection.h"
 #include "link/hub_observer.h"
@@ -24,8 +25,9 @@
 
 /// Runs beside one engine. Reads the engine's report many times a second and sends it to every connected entry, grants
 /// reservations of the engine's memory and slots, grants copy slots on the engine's link while the engine leaves,
-/// issues permits for targets with a bounded rate, and passes crash notices on between entries. No request passes
-/// through it: without it, entries only lack current reports, reservations and copy slots.
+/// issues permits for targets with a bounded rate, passes crash notices on between entries, and remembers for them
+/// which software versions began streams. No request passes through it: without it, entries only lack current reports,
+/// reservations and copy slots.
 class forwarding_agent_role : public process::role, private link::hub_observer {
 public:
     static base::result<std::unique_ptr<forwarding_agent_role>> create(process::runtime& daemon);
@@ -69,6 +71,7 @@
     poison_control::guarded_suspects suspects_;
     poison_control::poison_controller crash_notices_;
     permit_service permits_;
+    stream_origin_service stream_origins_;
     process::operator_handler operators_;
     http::server operator_server_;
 };
--- a/Libraries/forwarding_entry/entry_parts.h
+++ b/Libraries/forwarding_entry/entry_parts.h
@@ -17,6 +17,7 @@
 class copy_slot_client;
 class crash_detector;
 class reservation_client;
+class stream_origin_client;
 
 /// References to the components that all exchanges of an entry share.
 struct entry_parts {
@@ -31,6 +32,7 @@
     copy_slot_client& copy_slots;
     reservation_client& reservations;
     stream_registry& streams;
+    stream_origin_client& stream_origins;
     poison_control::poison_controller& suspects;
     crash_detector& crashes;
     metrics::registry& metrics;
--- a/Libraries/forwarding_entry/forwarding_entry_role.h
+++ b/Libraries/forwarding_entry/forwarding_entry_role.h
@@ -14,6 +14,7 @@
 #include "forwarding_entry/readiness_handler.h"
 #include "forwarding_entry/reservation_client.h"
 #include "forwarding_entry/store_controller.h"
+#include "forwarding_entry/stream_origin_client.h"
 #include "forwarding_entry/stream_registry.h"
 #include "forwarding_entry/target_connections.h"
 #include "forwarding_entry/target_notice_controller.h"
@@ -66,6 +67,7 @@
     base::byte_budget_pointer answer_memory_{new base::byte_budget{answer_memory_bytes}};
     copy_slot_client copy_slots_;
     stream_registry streams_;
+    stream_origin_client stream_origins_;
     poison_control::poison_controller suspects_;
     crash_detector crashes_;
     agent_controller agents_;
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -6,6 +6,7 @@
 #include "forwarding_entry/copy_slot_client.h"
 #include "forwarding_entry/crash_detector.h"
 #include "forwarding_entry/reservation_client.h"
+#include "forwarding_entry/stream_origin_client.h"
 #include "log/logger.h"
 #include "platform/engine_calls.h"
 
@@ -48,6 +49,10 @@
 // Reason of a run that was ended for its replacement.
 constexpr std::string_view replaced_reason = "slow";
 constexpr base::milliseconds copy_timeout{2000};
+// Length of a stream on a route without a time limit, for the software versions that may have begun it.
+constexpr base::milliseconds longest_stream_without_limit{60'000};
+// Retry-After of a stream whose beginning is not known here.
+constexpr base::milliseconds unknown_origin_delay{300};
 constexpr base::milliseconds move_retry_pause{40};
 constexpr int maximum_move_attempts = 40;
 // Tokens that a request generates while its memory is copied.
@@ -69,6 +74,11 @@
     return "no end of an event in " + std::to_string(run.splitter.unfinished().size()) + " bytes";
 }
 
+std::int64_t unix_milliseconds() {
+    auto const time = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<base::milliseconds>(time).count();
+}
+
 std::int64_t milliseconds_since(base::time_point start, base::time_point now) {
     return std::chrono::duration_cast<base::milliseconds>(now - start).count();
 }
@@ -89,12 +99,10 @@
 asio::awaitable<void> stream_exchange::run() {
     self_pointer const self{this};
     parts_.streams.add(*this);
-    if (request_.caller.resume_after)
-        log::write(log::event_kind::stream_taken_up, {{"request", request_.caller.id},
-                                                      {"resumes", request_.caller.resumed_request},
-                                                      {"last_event", *request_.caller.resume_after}});
     parts_.board.retry_budget(request_.service).count_request(request_.arrived);
     request_.client->watch_for_close([self] { self->on_caller_left(); });
+    if (request_.caller.resume_after.value_or(0) > 0)
+        co_await find_origin();
     wake_timer_.expires_at(request_.deadline);
     while (!caller_left_) {
         if (phase_ == phase::needs_run)
@@ -119,12 +127,51 @@
     co_await finish();
 }
 
+asio::awaitable<void> stream_exchange::find_origin() {
+    auto const& resumed = request_.caller.resumed_request;
+    std::string_view source = "first_event";
+    if (!resumed.empty())
+        software_version_ = co_await parts_.stream_origins.look_up(resumed);
+    if (!software_version_) {
+        source = "sole_version";
+        auto const longest =
+            request_.route->timeout.count() > 0 ? request_.route->timeout : longest_stream_without_limit;
+        software_version_ =
+            parts_.board.fleet.find_sole_version(request_.service, longest, base::clock::now(), unix_milliseconds());
+    }
+    log::write(log::event_kind::stream_taken_up, {{"request", request_.caller.id},
+                                                  {"resumes", resumed},
+                                                  {"last_event", *request_.caller.resume_after},
+                                                  {"software_version", software_version_.value_or("")},
+                                                  {"source", software_version_ ? source : "unknown"}});
+    if (software_version_) {
+        // A later try finds the version even if this entry was the only one to know it.
+        if (!resumed.empty())
+            parts_.stream_origins.publish(resumed, *software_version_);
+        co_return;
+    }
+    // Another entry may know more.
+    answer_ = make_error_answer(base::make_error(base::error_kind::out_of_service,
+                                                 "the software version that began the stream is not known here",
+                                                 unknown_origin_delay));
+    phase_ = phase::answered;
+}
+
+void stream_exchange::set_origin(std::string const& software_version) {
+    software_version_ = software_version;
+    // Only a caller of such a stream may take it up again.
+    if (request_.may_run_again())
+        parts_.stream_origins.publish(request_.caller.id, software_version);
+}
+
 placement_need stream_exchange::make_need(std::vector<std::string> const& excluded) {
     auto need = make_placement_need(request_, excluded);
-    need.on_time_until = request_.arrived + request_.route->latency_objective - first_event_reserve;
+    if (software_version_)
+        need.request.software_version = &*software_version_;
+    need.on_time_until = waits_since() + request_.route->latency_objective - first_event_reserve;
     need.give_up_at =
         std::min<base::time_point>(request_.deadline,
-                                   request_.arrived + objectives_until_abandoned * request_.route->latency_objective) -
+                                   waits_since() + objectives_until_abandoned * request_.route->latency_objective) -
         abandon_margin;
     need.overcommit_at = need.give_up_at - overcommit_lead;
     need.is_cancelled = [this] { return caller_left_ || learn_refusal(); };
@@ -168,6 +215,7 @@
         return;
     forwarding::copy_request copy;
     copy.request = request_.placement();
+    copy.request.software_version = &started.software_version;
     copy.source = started.target;
     copy.tokens = request_.caller.size ? request_.caller.size->expected_memory() : 0;
     copy.room_share = backup_room_share;
@@ -273,6 +321,12 @@
         parts_.connections.release(current->address, connection, {});
         co_return send_result{send_outcome::not_sent, "no longer wanted", {}};
     }
+    // Another incarnation under the same id may run other software.
+    auto const* view = parts_.board.fleet.find(current->target);
+    if (view == nullptr || view->replaced || view->record.started_at != current->target_started_at) {
+        parts_.connections.release(current->address, connection, {});
+        co_return send_result{send_outcome::not_sent, "target_replaced", {}};
+    }
     if (learn_refusal()) {
         parts_.connections.release(current->address, connection, {});
         co_return send_result{send_outcome::not_sent, std::string{base::name_of(base::error_kind::poison_request)}, {}};
@@ -374,6 +428,8 @@
             parts_.suspects.on_part_success(request_.content);
         }
         current.progress_at = now;
+        if (software_version_ && current.software_version != *software_version_)
+            return false;
         auto const before = relay_.active();
         auto const verdict = relay_.on_event(current.number, event->id);
         if (verdict == forwarding::event_verdict::gap)
@@ -382,6 +438,8 @@
             on_takeover(current, *event);
         if (verdict == forwarding::event_verdict::drop)
             continue;
+        if (!software_version_)
+            set_origin(current.software_version);
         if (event_count_ == 0)
             log::write(log::event_kind::stream_started, {{"request", request_.caller.id},
                                                          {"target", current.target},
@@ -748,6 +806,7 @@
         co_return false;
     forwarding::copy_request copy;
     copy.request = request_.placement();
+    copy.request.software_version = &source->software_version;
     copy.request.excluded = refused;
     copy.source = source->target;
     copy.tokens = tokens_held() + copy_headroom_tokens;
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -60,6 +60,13 @@
     /// Why a run at another target is to take over from a running one.
     enum class source_state : std::uint8_t { leaving, stalled };
 
+    // The version of the software that began the stream.
+    /// Finds it for a stream that the caller takes up again. Otherwise the first event decides.
+    boost::asio::awaitable<void> find_origin();
+    void set_origin(std::string const& software_version);
+    /// Since when the caller waits for the next event.
+    base::time_point waits_since() const { return event_count_ > 0 ? last_event_at_ : request_.arrived; }
+
     // Runs.
     boost::asio::awaitable<void> start_first_run();
     void start_run_at(std::string const& target, http::upstream_pointer connection);
@@ -138,6 +145,8 @@
     bool head_sent_{false};
     std::string pending_output_;
     std::optional<http::response> answer_;
+    /// The version that began the stream. Empty until the first event.
+    std::optional<std::string> software_version_;
     std::uint64_t event_count_{0};
     base::time_point last_event_at_{};
     base::milliseconds longest_gap_{};
--- /dev/null
+++ b/Libraries/forwarding_entry/stream_origin_client.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "forwarding/stream_origins.h"
+#include "link/hub.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace cyclamenledge::forwarding_entry {
+
+/// Finds the software version that began a stream which a caller takes up again, at any entry. The entry that passed
+/// the first event on remembers the version and tells it to a few agents, which know it after the entry has ended.
+class stream_origin_client {
+public:
+    stream_origin_client(boost::asio::io_context& context, link::hub& hub);
+
+    /// The request has brought the first event of a stream.
+    void publish(std::string const& request, std::string const& software_version);
+    /// Asks the other entries and the agents unless this entry knows the version. No value if none of them knows it, or
+    /// none that does has answered in time.
+    boost::asio::awaitable<std::optional<std::string>> look_up(std::string request);
+    std::size_t size() const { return origins_.size(); }
+
+private:
+    struct question {
+        boost::asio::steady_timer timer;
+        std::size_t unanswered{0};
+    };
+
+    void answer(link::connection& source, std::string const& request);
+    void on_answer(wire::schema::StreamOriginT const& answer);
+
+    boost::asio::io_context& context_;
+    link::hub& hub_;
+    forwarding::stream_origins origins_;
+    /// By the request that the questions are about.
+    std::multimap<std::string, question> questions_;
+};
+
+} // namespace cyclamenledge::forwarding_entry
--- a/Libraries/wire/message_kind.cpp
+++ b/Libraries/wire/message_kind.cpp
@@ -50,6 +50,8 @@
     {"limit_observations", control, verify<schema::LimitObservations>},
     {"permit_request", control, verify<schema::PermitRequest>},
     {"permit_answer", control, verify<schema::PermitAnswer>},
+    {"stream_origin_question", control, verify<schema::StreamOriginQuestion>},
+    {"stream_origin", control, verify<schema::StreamOrigin>},
 }};
 
 } // namespace
--- a/Libraries/wire/message_kind.h
+++ b/Libraries/wire/message_kind.h
@@ -47,8 +47,10 @@
     limit_observations,
     permit_request,
     permit_answer,
+    stream_origin_question,
+    stream_origin,
 };
-inline constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::permit_answer) + 1;
+inline constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::stream_origin) + 1;
 
 /// Whether a frame counts towards the control cost or carries callers' data.
 enum class traffic_kind : std::uint8_t { control, data };
@@ -109,6 +111,8 @@
 CYCLAMENLEDGE_MESSAGE(limit_observations, LimitObservations)
 CYCLAMENLEDGE_MESSAGE(permit_request, PermitRequest)
 CYCLAMENLEDGE_MESSAGE(permit_answer, PermitAnswer)
+CYCLAMENLEDGE_MESSAGE(stream_origin_question, StreamOriginQuestion)
+CYCLAMENLEDGE_MESSAGE(stream_origin, StreamOrigin)
 
 #undef CYCLAMENLEDGE_MESSAGE
 
--- a/Tests/process/software_versions/software_versions_test.cpp
+++ b/Tests/process/software_versions/software_versions_test.cpp
@@ -16,8 +16,10 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t entry_count = 3;
-constexpr std::size_t engine_count = 6;
-constexpr std::size_t streams = 6;
+// Each failure domain has two engines of each version, since replicas stay in the failure domain.
+constexpr std::size_t engine_count = 4 * soak::fleet::domain_count;
+constexpr std::size_t streams = 3;
+constexpr std::size_t sound_calls = 90;
 // Events come each 25 ms, so the streams last for two seconds.
 constexpr std::uint64_t events = 80;
 constexpr auto time_until_events = 600ms;
@@ -27,7 +29,7 @@
 
 /// The versions that have written events of the answer.
 std::set<std::string> writers_of(std::string const& body) {
-    static std::string const mark = "data: written by ";
+    auto const mark = platform::standin::version_mark;
     std::set<std::string> found;
     for (auto at = body.find(mark); at != std::string::npos; at = body.find(mark, at + 1)) {
         auto const begin = at + mark.size();
@@ -64,7 +66,7 @@
     world.act([&] {
         for (std::size_t number = 0; number < engine_count; ++number) {
             auto& site = *world.fleet().targets().at(number);
-            site.target->set_version(versions.at(number % versions.size()));
+            site.target->set_version(versions.at(number / soak::fleet::domain_count % versions.size()));
             site.target->crash();
         }
     });
@@ -121,12 +123,15 @@
             {"stream at an engine that goes silent", "/gen/", false, &stall},
             {"resumable stream at an engine that goes silent", "/resume/", true, &stall},
         };
-        for_each_row(table, [](row const& tested) {
-            platform_world world{{.entries = entry_count, .engines = engine_count, .services = 1}};
-            mix_versions(world);
+        platform_world world{{.entries = entry_count, .engines = engine_count, .services = 1}};
+        mix_versions(world);
+        for_each_row(table, [&](row const& tested) {
+            // Retries are a share of the requests.
+            for (std::size_t number = 0; number < sound_calls; ++number)
+                world.call({"sound-" + std::to_string(calls_++), "/resume/1", 10, {}, number % entry_count, true});
             std::uint32_t moved = 0;
             for (std::size_t number = 0; number < streams; ++number) {
-                auto const request = "mixed-" + std::to_string(number);
+                auto const request = "mixed-" + std::to_string(calls_++);
                 http_answer answer;
                 std::thread caller{[&] {
                     answer = world.call({request,
@@ -179,9 +184,9 @@
                  std::this_thread::sleep_for(announcement_time);
              }},
         };
-        for_each_row(table, [](row const& tested) {
-            platform_world world{{.entries = entry_count, .engines = engine_count, .services = 1}};
-            mix_versions(world);
+        platform_world world{{.entries = entry_count, .engines = engine_count, .services = 1}};
+        mix_versions(world);
+        for_each_row(table, [&](row const& tested) {
             for (std::size_t number = 0; number < streams; ++number)
                 take_up(world, number, tested.disturb);
         });
@@ -189,8 +194,8 @@
 
 private:
     /// A caller loses its stream with its entry's connection and takes it up twice, through other entries.
-    static void take_up(platform_world& world, std::size_t number, void (*disturb)(platform_world&, std::size_t)) {
-        auto const request = "first-" + std::to_string(number);
+    void take_up(platform_world& world, std::size_t number, void (*disturb)(platform_world&, std::size_t)) {
+        auto const request = "first-" + std::to_string(calls_++);
         auto const entry = number % entry_count;
         auto const path = "/resume/" + std::to_string(events);
         auto const cut = [&](std::size_t cut_entry) {
@@ -220,6 +225,9 @@
         // Engines of the version serve, so the stream goes on to its end.
         CPPUNIT_ASSERT_EQUAL(events, last);
     }
+
+    /// For the ids of requests.
+    std::size_t calls_{0};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(software_versions_test);
--- a/Tests/soak/run_ledger_test.cpp
+++ b/Tests/soak/run_ledger_test.cpp
@@ -58,6 +58,19 @@
         }
         ledger.check_sound_streams();
     }
+    void take_up_streams(int taken_up, int went_on, int begun) {
+        for (int number = 0; number < taken_up + begun; ++number) {
+            auto const request = "stream-" + std::to_string(number);
+            ledger.begin_call(request, true, "engine");
+            ledger.send_call(request, {0, false});
+            if (number < taken_up)
+                ledger.mark_taken_up(request);
+            if (number < went_on || number >= taken_up)
+                ledger.begin_answer(request);
+            ledger.end_call(request, call_end::failed);
+        }
+        ledger.check_taken_up_streams();
+    }
     void arrive_at_limited(int requests, base::duration named_ago) {
         ledger.name_limit(target.id(), 2, base::clock::now() - named_ago);
         for (int number = 0; number < requests; ++number)
@@ -122,6 +135,22 @@
             bool broken;
         };
         std::vector<row> const table{
+            {"three streams of two versions",
+             [](world& played) {
+                 for (int number = 0; number < 3; ++number)
+                     played.ledger.record_versions(2);
+             },
+             true},
+            {"two streams of two versions",
+             [](world& played) {
+                 played.ledger.record_versions(2);
+                 played.ledger.record_versions(2);
+                 played.ledger.record_versions(1);
+             },
+             false},
+            {"few taken-up streams go on", [](world& played) { played.take_up_streams(12, 5, 10); }, true},
+            {"half of the taken-up streams go on", [](world& played) { played.take_up_streams(12, 6, 10); }, false},
+            {"too few taken-up streams to judge", [](world& played) { played.take_up_streams(11, 0, 10); }, false},
             {"a part of prompts reaches targets again",
              [](world& played) { played.run_crashing(5, 5s, 4, soak::content_kind::prompt_part); }, true},
             {"a part of prompts reaches targets three times",
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -376,8 +376,8 @@
         }
         if (paused && event == first + 1)
             co_await pause(event_pause);
-        auto const text = "id: " + std::to_string(event) + "\ndata: " + request + ":" + std::to_string(event) +
-                          "\ndata: written by " + version + "\n\n";
+        auto const text = "id: " + std::to_string(event) + "\ndata: " + request + ":" + std::to_string(event) + "\n" +
+                          std::string{version_mark} + version + "\n\n";
         sound = static_cast<bool>(co_await client->send_chunk(text));
         co_await pause(event_interval);
         if (incarnation != incarnation_) {
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -100,6 +100,8 @@
 
 /// Part of the path of a request that crashes every target that runs it.
 inline constexpr std::string_view crashing_path = "/crash/";
+/// Before the software version in each event of a stream.
+inline constexpr std::string_view version_mark = "data: written by ";
 /// Begins the id of a part of a prompt that crashes every engine which begins to write an answer on it.
 inline std::string const crashing_part{"dead"};
 /// Part of the path of a call that takes a second.
