Play another crashing part of prompts in each phase of the soak

Each phase now has one part of its own, with more calls.

Crash records that are replaced no longer leave an empty entry for their crash, and software versions that no target is listed with are forgotten after an hour, so that both tables stay bounded.

--- a/Development/soak/caller.cpp
+++ b/Development/soak/caller.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t most_bytes = 1024UL * 1024;
 constexpr base::milliseconds longest_pause{60};
 constexpr std::uint64_t calls_per_crashing_call = 60;
+constexpr std::uint64_t calls_per_crashing_part = 25;
 constexpr std::uint64_t orders_per_slow_order = 10;
 constexpr std::uint64_t streams_per_broken_one = 6;
 constexpr std::size_t tries_to_take_up = 2;
@@ -80,13 +81,13 @@
     return std::to_string(number_) + "-" + std::to_string(next_id_++);
 }
 
-asio::awaitable<void> caller::run(bool const& stop, bool const& may_crash_targets) {
+asio::awaitable<void> caller::run(bool const& stop, crashing_traffic const& crashing) {
     asio::steady_timer timer{context_};
     while (!stop) {
-        if (may_crash_targets && random_.below(calls_per_crashing_call) == 0)
+        if (crashing.sent && random_.below(calls_per_crashing_call) == 0)
             co_await call_crashing();
-        if (may_crash_targets && random_.below(calls_per_crashing_call) == 0)
-            co_await call_crashing_part();
+        if (crashing.sent && random_.below(calls_per_crashing_part) == 0)
+            co_await call_crashing_part(crashing.outbreak);
         auto const choice = random_.below(10);
         co_await call(choice < 2   ? route::generation
                       : choice < 4 ? route::resumable
@@ -212,7 +213,7 @@
     return "f00" + std::to_string(random_.below(first_parts)) + ":100," + middle + ":200,0" + request + ":100";
 }
 
-asio::awaitable<void> caller::call_crashing_part() {
+asio::awaitable<void> caller::call_crashing_part(std::uint64_t outbreak) {
     auto const& definition =
         fixed_routes()[static_cast<std::size_t>(random_.below(2) == 0 ? route::generation : route::resumable)];
     exchange made;
@@ -222,7 +223,7 @@
     made.bounds = bounds_of(definition);
     made.size = 1 + random_.below(120);
     made.path = definition.prefix + std::to_string(made.size);
-    auto const part = platform::standin::crashing_part + std::to_string(random_.below(2));
+    auto const part = platform::standin::crashing_part + std::to_string(outbreak);
     made.prompt_parts = make_prompt(part, made.request);
     auto const request = made.request;
     ledger_.begin_call(request, may_run_again(definition), definition.service);
--- a/Development/soak/caller.h
+++ b/Development/soak/caller.h
@@ -16,6 +16,13 @@
 
 namespace cyclamenledge::soak {
 
+/// Calls that crash targets, as all callers send them.
+struct crashing_traffic {
+    bool sent{true};
+    /// Each outbreak has another crashing part of prompts.
+    std::uint64_t outbreak{0};
+};
+
 /// Sends calls to entries over kept connections, one after the other, and checks each answer.
 class caller {
 public:
@@ -23,7 +30,7 @@
            std::uint64_t seed);
 
     /// Sends calls until told to stop, and now and then one that crashes targets.
-    boost::asio::awaitable<void> run(bool const& stop, bool const& may_crash_targets);
+    boost::asio::awaitable<void> run(bool const& stop, crashing_traffic const& crashing);
     /// Sends plain calls as the load says, over one connection as long as it lasts.
     boost::asio::awaitable<void> run_load(load const& wanted, bool const& stop);
     /// Asks an entry for the routes of versions that it has shown before.
@@ -65,7 +72,7 @@
     boost::asio::awaitable<void> take_up(exchange broken, stream_progress& progress);
     boost::asio::awaitable<void> call_crashing();
     /// Sends a generation that has only a crashing part of its prompt in common with others.
-    boost::asio::awaitable<void> call_crashing_part();
+    boost::asio::awaitable<void> call_crashing_part(std::uint64_t outbreak);
     /// The parts of a prompt: one of few first parts, the given middle part, and one of the request's own.
     std::string make_prompt(std::string const& middle, std::string const& request);
     boost::asio::awaitable<call_end> perform(exchange made);
--- a/Development/soak/main.cpp
+++ b/Development/soak/main.cpp
@@ -103,14 +103,15 @@
         asio::co_spawn(context_, watch_daemons(), asio::detached);
         for (std::size_t number = 0; number < options_.callers; ++number) {
             callers_.push_back(std::make_unique<caller>(context_, fleet_, ledger_, number + 1, random_.next()));
-            asio::co_spawn(context_, callers_.back()->run(stop_, may_crash_targets_), asio::detached);
+            asio::co_spawn(context_, callers_.back()->run(stop_, crashing_), asio::detached);
         }
         auto const end = base::clock::now() + base::seconds{options_.seconds};
         while (base::clock::now() < end) {
+            ++crashing_.outbreak;
             co_await plan_.run(planned_phase, false);
             co_await plan_.run(fault_phase, true);
             co_await plan_.settle();
-            may_crash_targets_ = base::clock::now() < end;
+            crashing_.sent = base::clock::now() < end;
             co_await pause(recovery_time);
         }
         auto const served = ledger_.count(call_end::served);
@@ -218,7 +219,7 @@
     run_ledger ledger_;
     std::ostringstream log_;
     bool stop_{false};
-    bool may_crash_targets_{true};
+    crashing_traffic crashing_;
     fleet fleet_;
     fault_plan plan_;
     std::vector<std::unique_ptr<caller>> callers_;
--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -556,6 +556,8 @@
 }
 
 void fleet_view::expire(base::time_point now) {
+    for (auto& [service, versions] : versions_listed_at_)
+        std::erase_if(versions, [now](auto const& listed) { return now - listed.second > version_lifetime; });
     std::erase_if(targets_, [&](auto const& entry) {
         auto const& target = entry.second;
         auto const lifetime = target.shown_leaving ? shown_leaving_lifetime : removed_lifetime;
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -145,6 +145,9 @@
     /// How long a removed target is kept that had shown that it leaves. A late listing of it must not make it usable.
     static constexpr base::seconds shown_leaving_lifetime{600};
 
+    /// How long a software version is remembered that no target is listed with any more. No stream lasts as long.
+    static constexpr base::seconds version_lifetime{3600};
+
     fleet_view(std::string failure_domain, std::map<std::string, std::string> regions, std::uint64_t seed);
 
     void apply_routes(route_set_pointer routes) { routes_ = std::move(routes); }
--- a/Libraries/poison/crash_suspects.cpp
+++ b/Libraries/poison/crash_suspects.cpp
@@ -45,7 +45,7 @@
         auto const replaceable = std::ranges::find_if(records, &crash_record::cleared);
         if (replaceable == records.end())
             return false;
-        std::erase(by_crash_[identity_of(*replaceable)], notice.fingerprint);
+        remove_from_crash(*replaceable, notice.fingerprint);
         records.erase(replaceable);
     }
     crash_record record{notice.target, notice.incarnation, at, run_started, false};
@@ -280,16 +280,19 @@
         erase_oldest();
 }
 
+void crash_suspects::remove_from_crash(crash_record const& record, std::uint64_t fingerprint) {
+    auto const in_crash = by_crash_.find(identity_of(record));
+    if (in_crash == by_crash_.end())
+        return;
+    std::erase(in_crash->second, fingerprint);
+    if (in_crash->second.empty())
+        by_crash_.erase(in_crash);
+}
+
 void crash_suspects::erase_oldest() {
     auto const& oldest = suspects_.front();
-    for (auto const& record : oldest.crash_records) {
-        auto const in_crash = by_crash_.find(identity_of(record));
-        if (in_crash == by_crash_.end())
-            continue;
-        std::erase(in_crash->second, oldest.fingerprint);
-        if (in_crash->second.empty())
-            by_crash_.erase(in_crash);
-    }
+    for (auto const& record : oldest.crash_records)
+        remove_from_crash(record, oldest.fingerprint);
     by_fingerprint_.erase(oldest.fingerprint);
     suspects_.pop_front();
 }
--- a/Libraries/poison/crash_suspects.h
+++ b/Libraries/poison/crash_suspects.h
@@ -148,6 +148,7 @@
     suspect_list::iterator find_or_insert(std::uint64_t fingerprint, base::time_point at);
     /// Sets the time of the newest event and moves the element to its position in the list.
     void update_newest(suspect_list::iterator updated, base::time_point at);
+    void remove_from_crash(crash_record const& record, std::uint64_t fingerprint);
     void evict_oldest();
     void erase_oldest();
 
