--- a/Libraries/forwarding/stream_origins.h
+++ b/Libraries/forwarding/stream_origins.h
@@ -33,7 +33,7 @@
     struct origin {
         std::string request;
         std::string software_version;
-        base::time_point at;
+        base::time_point at{};
     };
 
     void erase_first();
--- a/Libraries/forwarding/target_record.h
+++ b/Libraries/forwarding/target_record.h
@@ -21,8 +21,8 @@
     target_state state{target_state::serving};
     /// Remaining warm-up time when the record was published.
     base::milliseconds cold_left{};
-    /// Version of the software that the target runs, as the target names it. It has no order. Targets that name none are
-    /// taken to run one version.
+    /// Version of the software that the target runs, as the target names it. It has no order. Targets that name none
+    /// are taken to run one version.
     std::string software_version;
     /// Unix time of the target's start in milliseconds. Distinguishes incarnations with the same id.
     std::int64_t started_at{0};
--- a/Libraries/forwarding_agent/stream_origin_service.h
+++ b/Libraries/forwarding_agent/stream_origin_service.h
@@ -3,8 +3,6 @@
 #include "forwarding/stream_origins.h"
 #include "link/hub.h"
 
-#include <cstddef>
-
 namespace cyclamenledge::forwarding_agent {
 
 /// Remembers for the entries which software versions began streams, so that this is known after an entry has ended.
@@ -15,7 +13,6 @@
 
     /// Registers for frames. Called once, before the first connection.
     void start();
-    std::size_t size() const { return origins_.size(); }
 
 private:
     link::hub& hub_;
--- a/Libraries/forwarding_entry/stream_origin_client.h
+++ b/Libraries/forwarding_entry/stream_origin_client.h
@@ -25,7 +25,6 @@
     /// Asks the other entries and the agents unless this entry knows the version. No value if none of them knows it, or
     /// none that does has answered in time.
     boost::asio::awaitable<std::optional<std::string>> look_up(std::string request);
-    std::size_t size() const { return origins_.size(); }
 
 private:
     struct question {
@@ -33,7 +32,6 @@
         std::size_t unanswered{0};
     };
 
-    void answer(link::connection& source, std::string const& request);
     void on_answer(wire::schema::StreamOriginT const& answer);
 
     boost::asio::io_context& context_;
--- a/Libraries/poison/success_memory.h
+++ b/Libraries/poison/success_memory.h
@@ -23,8 +23,8 @@
 
 private:
     struct success {
-        std::uint64_t fingerprint;
-        base::time_point at;
+        std::uint64_t fingerprint{0};
+        base::time_point at{};
     };
 
     std::size_t capacity_;
