Refuse parts that have succeeded for a short time only

If all targets of a service crash five times in series for a reason of their own, without a success in between, the parts that most requests share (the first one of a prompt) would have been refused for ten minutes, long after the targets are back, and nothing could have cleared them.

Crash records of a part on which targets have answered before now count for 15 s. A part that never had a success is refused for ten minutes as before. The new row of part_that_explains_the_crashes_is_refused fails without the change.

--- a/Libraries/poison/crash_suspects.cpp
+++ b/Libraries/poison/crash_suspects.cpp
@@ -13,6 +13,14 @@
 // Ages of notices leave out the time that they take to arrive, which differs between crashes. A run that was started
 // right after a crash must not seem to overlap with it.
 constexpr base::milliseconds notice_delay{100};
+// When all targets of a service crash for a reason of their own, the parts that most requests share must not stay
+// refused after the targets are back.
+constexpr base::seconds sound_part_record_lifetime{15};
+
+base::seconds record_lifetime(content_kind kind, bool has_succeeded, base::seconds usual) {
+    bool const sound_part = kind == content_kind::prompt_part && has_succeeded;
+    return sound_part ? std::min(sound_part_record_lifetime, usual) : usual;
+}
 
 } // namespace
 
@@ -129,8 +137,9 @@
 
 crash_suspects::crash_records crash_suspects::current_records(suspect const& counted, base::time_point now) const {
     crash_records records;
+    auto const lifetime = record_lifetime(counted.kind, counted.has_succeeded(), options_.crash_record_lifetime);
     for (auto const& record : counted.crash_records) {
-        if (!record.cleared && !expired(record.at, now))
+        if (!record.cleared && now - record.at <= lifetime)
             records.push_back(&record);
     }
     std::ranges::sort(records, {}, &crash_record::at);
@@ -221,10 +230,11 @@
     auto left = base::milliseconds{0};
     if (found == by_fingerprint_.end())
         return left;
-    for (auto const& record : found->second->crash_records) {
+    auto const& counted = *found->second;
+    auto const lifetime = record_lifetime(counted.kind, counted.has_succeeded(), options_.crash_record_lifetime);
+    for (auto const& record : counted.crash_records) {
         if (!record.cleared)
-            left = std::max(
-                left, std::chrono::duration_cast<base::milliseconds>(record.at + options_.crash_record_lifetime - now));
+            left = std::max(left, std::chrono::duration_cast<base::milliseconds>(record.at + lifetime - now));
     }
     return left;
 }
--- a/Tests/poison/crashing_parts_verdict_test.cpp
+++ b/Tests/poison/crashing_parts_verdict_test.cpp
@@ -31,7 +31,7 @@
     bool refused;
 };
 
-constexpr std::array<verdict_row, 26> verdict_rows{{
+constexpr std::array<verdict_row, 28> verdict_rows{{
     {"two crashes", "a:G b:G", "G", false},
     {"three crashes", "a:G b:G c:G", "G", true},
     {"in another request", "a:GA b:GB c:GC", "GD", true},
@@ -54,6 +54,8 @@
     {"the culprit beside a sound part", "+X a:GX b:GX c:GX", "G", true},
     {"a part that was sound, after four crashes", "+G a:G b:G c:G d:G", "G", false},
     {"a part that was sound, after five crashes", "+G a:G b:G c:G d:G e:G", "G", true},
+    {"a part that was sound, minutes after all targets crashed", "+G a:G b:G c:G d:G e:G .", "G", false},
+    {"a part that never was, minutes later", "a:G b:G c:G .", "G", true},
     {"two culprits, the first", "a:G b:H c:G d:H e:G f:H", "G", true},
     {"two culprits, the second", "a:G b:H c:G d:H e:G f:H", "H", true},
     {"a part beside both culprits", "a:GX b:HX c:G d:H e:GX f:H g:HX", "X", false},
