Judge sound and taken-up streams at entries that are not stopping

The logs of the entries show that each sound stream that reached an entry from then on began (164 of 165; the other one was a take-up without further events), and no refusal of a sound stream as a crashing one. Two of the four entries were in their planned stops of 5 and 8 s, and the ledger counts an entry as in touch 4 s after its SIGTERM, so that connections which the stopped entries refused were judged. The users' rule counts machines in touch, which a machine in its stop is not. The two new checks now leave out streams sent to an entry that was told to stop or has ended; their bounds are the same.

--- a/Development/soak/caller.cpp
+++ b/Development/soak/caller.cpp
@@ -258,7 +258,10 @@
                                            made.last_event,
                                            made.resumed_request};
     auto const message = platform::standin::encode_call(content);
-    ledger_.send_call(made.request, {made.entry, made.plain, made.kept, made.bounds});
+    auto const& process = world_.entries()[made.entry]->process;
+    sending sent_to{made.entry, made.plain, made.kept, made.bounds};
+    sent_to.stopping = process.stopping || process.ended_on_purpose;
+    ledger_.send_call(made.request, sent_to);
     if (auto const sent = co_await connection.value()->send(message, connect_timeout); !sent) {
         connection.value()->close();
         co_return call_end::broken;
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -43,6 +43,8 @@
     bool kept{false};
     call_bounds bounds{};
     base::time_point at{base::clock::now()};
+    /// The entry had been told to stop or had ended.
+    bool stopping{false};
     /// The entry was in touch, and so were the targets if it was calm.
     bool in_touch{false};
     bool calm{false};
@@ -125,7 +127,7 @@
     void check_sound_streams();
     void send_call(std::string const& request, sending const& sent) {
         auto& kept = calls_[request].sent.emplace(sent);
-        kept.in_touch = in_touch(sent.entry, sent.at);
+        kept.in_touch = !sent.stopping && in_touch(sent.entry, sent.at);
         kept.calm = kept.in_touch && calm_since(sent.at - contact_time);
     }
     void answer_call(std::string const& request, unsigned status) { calls_[request].status = status; }
