Keep time limits of handshakes away from ended sockets

Cause: hub::complete_handshake and outbound_link::open_connection set a timer whose handler closes the socket by reference. When the handshake failed and the limit passed while the process did not run (paused, or without a turn), both results were queued together. The coroutine ran first and ended with its socket; an expired wait can't be cancelled, so its handler then closed the socket in memory that had been freed or had been given to another coroutine. The soak pauses entries and agents and closes and silences their connections all the time.

Change: network::socket_deadline. Its handler shares a counted record with it and finds no socket once the limit has ended.

Shown by: Tests/network fails with a destructor that only cancels the timer (the limit of an ended socket closes the next one) and passes with this one.

Ruled out by trials with GCC 12 (-O0 and -O2): braces for an empty std::string or std::function as argument of an awaited call, default arguments, and aggregates in co_return; they are destroyed once.

--- a/Libraries/link/hub.cpp
+++ b/Libraries/link/hub.cpp
@@ -5,6 +5,7 @@
 #include "link/outbound_link.h"
 #include "log/logger.h"
 #include "network/endpoint.h"
+#include "network/socket_deadline.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -83,15 +84,10 @@
 }
 
 asio::awaitable<void> hub::complete_handshake(tcp::socket socket) {
-    asio::steady_timer timer{socket.get_executor(), handshake_timeout};
-    timer.async_wait([&socket](boost::system::error_code const& code) {
-        boost::system::error_code ignored;
-        if (!code)
-            socket.close(ignored);
-    });
+    network::socket_deadline deadline{socket.get_executor(), socket, handshake_timeout};
     auto peer = co_await accept_handshake(socket, authenticator_, self_);
-    if (timer.cancel() == 0)
-        co_return; // The timeout has fired and closed the socket.
+    if (!deadline.lift())
+        co_return;
     if (!peer) {
         log::write(log::event_kind::link_refused, {{"reason", peer.error().message}});
         co_return;
--- a/Libraries/link/outbound_link.cpp
+++ b/Libraries/link/outbound_link.cpp
@@ -4,6 +4,7 @@
 #include "link/handshake.h"
 #include "log/logger.h"
 #include "network/endpoint.h"
+#include "network/socket_deadline.h"
 #include "retry/backoff.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -87,20 +88,15 @@
     auto const endpoint = network::parse_endpoint(address_);
     if (!endpoint)
         co_return false;
-    // The timeout closes the socket, so this coroutine and the timer both run on strand_.
     auto const executor = asio::make_strand(owner().context());
     tcp::socket socket{executor};
-    asio::steady_timer timeout{strand_, connect_timeout};
-    timeout.async_wait([&socket](boost::system::error_code const& code) {
-        boost::system::error_code ignored;
-        if (!code)
-            socket.close(ignored);
-    });
+    // This coroutine runs on strand_ too.
+    network::socket_deadline deadline{strand_, socket, connect_timeout};
     auto [code] = co_await socket.async_connect(endpoint.value(), asio::as_tuple(asio::use_awaitable));
     if (code)
         co_return false;
     auto peer = co_await connect_handshake(socket, owner().authenticator(), owner().self());
-    if (timeout.cancel() == 0)
+    if (!deadline.lift())
         co_return false;
     if (!peer || !accepts_peer(peer.value().process)) {
         log::write(log::event_kind::link_refused,
