--- a/Development/load/main.cpp
+++ b/Development/load/main.cpp
@@ -18,8 +18,9 @@
 
 /// Asks the service stand-in how often it has executed each key: an object of counts by key.
 boost::asio::awaitable<void> count_duplicates(boost::asio::ip::tcp::endpoint service, load::report& result) {
-    auto const answer = co_await http::exchange(
-        service, http::make_request(http::beast_http::verb::get, "/executions", {}), {}, maximum_executions_bytes);
+    auto message = http::make_request(http::beast_http::verb::get, "/executions", {});
+    http::client_timeouts const timeouts;
+    auto const answer = co_await http::exchange(service, std::move(message), timeouts, maximum_executions_bytes);
     boost::system::error_code code;
     auto const counts = answer ? boost::json::parse(answer.value().body(), code) : boost::json::value{};
     if (code || !counts.is_object())
--- a/Development/soak/caller.cpp
+++ b/Development/soak/caller.cpp
@@ -89,11 +89,11 @@
         if (crashing.sent && random_.below(calls_per_crashing_part) == 0)
             co_await call_crashing_part(crashing.outbreak);
         auto const choice = random_.below(10);
-        co_await call(choice < 2   ? route::generation
-                      : choice < 4 ? route::resumable
-                      : choice < 7 ? route::order
-                                   : route::read,
-                      random_.below(world_.entries().size()));
+        auto const kind = choice < 2   ? route::generation
+                          : choice < 4 ? route::resumable
+                          : choice < 7 ? route::order
+                                       : route::read;
+        co_await call(kind, random_.below(world_.entries().size()));
         if (random_.below(4) == 0)
             co_await check_configuration(random_.below(world_.entries().size()));
         timer.expires_after(base::milliseconds{random_.below(static_cast<std::uint64_t>(longest_pause.count()))});
@@ -122,8 +122,10 @@
     while (!stop) {
         timer.expires_after(base::milliseconds{static_cast<std::int64_t>(pause(random_.engine()))});
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-        if (!stop)
-            co_await call(random_.unit() < wanted.read_share ? route::read : route::order, choose_entry());
+        if (stop)
+            co_return;
+        auto const kind = random_.unit() < wanted.read_share ? route::read : route::order;
+        co_await call(kind, choose_entry());
     }
 }
 
--- a/Development/standin/config_standin.cpp
+++ b/Development/standin/config_standin.cpp
@@ -98,11 +98,10 @@
         co_return;
     }
     auto const& shown = visible().index;
-    if (shown.revision == after)
-        std::ignore = co_await client->send(http::make_response(status_not_modified, "application/json", {}));
-    else
-        std::ignore = co_await client->send(
-            http::make_response(status_ok, "application/json", configuration::write_index(shown)));
+    auto answer = http::make_response(status_not_modified, "application/json", {});
+    if (shown.revision != after)
+        answer = http::make_response(status_ok, "application/json", configuration::write_index(shown));
+    std::ignore = co_await client->send(std::move(answer));
 }
 
 asio::awaitable<void> config_standin::answer_part(http::session_pointer client, std::string const& target) {
--- a/Libraries/agent/call_controller.cpp
+++ b/Libraries/agent/call_controller.cpp
@@ -213,7 +213,8 @@
 asio::awaitable<void> call_controller::run_plain(link::connection_pointer source, call_message call) {
     process::request_guard const guard{daemon_};
     auto const patience = call->remaining_ms > 0 ? base::milliseconds{call->remaining_ms} : plain_patience;
-    auto answer = co_await service_.call(*call, patience, {});
+    http::send_permission const always;
+    auto answer = co_await service_.call(*call, patience, always);
     board_.calls.with([](call_table& table) { --table.running; });
     if (!answer) {
         send_refusal(*source, *call, base::make_error(error_kind::target_failed, answer.error().cause.message));
--- a/Libraries/entry/caller_handler.cpp
+++ b/Libraries/entry/caller_handler.cpp
@@ -174,8 +174,10 @@
     bool const keyed = call.value().key.has_value();
     if (!daemon_.begin_request()) {
         client->end_after_answer();
-        auto const reason = base::make_error(base::error_kind::leaving, "this process is stopping", leaving_retry);
-        co_await refuse(client, keyed ? once::caller_refusal(reason) : reason);
+        auto reason = base::make_error(base::error_kind::leaving, "this process is stopping", leaving_retry);
+        if (keyed)
+            reason = once::caller_refusal(reason);
+        co_await refuse(client, std::move(reason));
         co_return;
     }
     process::request_guard const guard{daemon_};
--- a/Libraries/entry/generation_session.cpp
+++ b/Libraries/entry/generation_session.cpp
@@ -59,8 +59,12 @@
     board_.routing.with([](routing_state& state) { state.budget.deposit(base::clock::now()); });
     watch_deadline();
     auto next = step::next_target;
-    while (next != step::finished)
-        next = next == step::resume ? co_await attempt_resume() : co_await attempt_once();
+    while (next != step::finished) {
+        if (next == step::resume)
+            next = co_await attempt_resume();
+        else
+            next = co_await attempt_once();
+    }
     deadline_timer_.cancel();
 }
 
--- a/Libraries/entry/keyed_call_session.cpp
+++ b/Libraries/entry/keyed_call_session.cpp
@@ -42,8 +42,12 @@
     }
     watch_deadline();
     auto next = step::submit;
-    while (next != step::finished)
-        next = next == step::query ? co_await query() : co_await submit();
+    while (next != step::finished) {
+        if (next == step::query)
+            next = co_await query();
+        else
+            next = co_await submit();
+    }
     stop_watching();
 }
 
--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -237,9 +237,9 @@
     auto const started_at = view->record.started_at;
     auto const now = base::clock::now();
     if (!connection) {
+        auto const maximum_idle = request_.may_run_again() ? unlimited_idle_time : maximum_idle_unless_repeatable;
         auto const connected = co_await parts_.connections.acquire(
-            address, std::min(target_connections::connect_timeout, request_.time_left(now)),
-            request_.may_run_again() ? unlimited_idle_time : maximum_idle_unless_repeatable);
+            address, std::min(target_connections::connect_timeout, request_.time_left(now)), maximum_idle);
         if (!connected) {
             ++unsent_attempts_;
             parts_.placements.record_outcome(target, forwarding::target_outcome::unreachable);
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -306,9 +306,9 @@
 asio::awaitable<send_result> stream_exchange::send_and_read(stream_run_pointer current) {
     auto connection = std::exchange(current->prepared_connection, nullptr);
     if (!connection) {
-        auto const connected = co_await parts_.connections.acquire(
-            current->address, target_connections::connect_timeout,
-            request_.may_run_again() ? unlimited_idle_time : maximum_idle_unless_repeatable);
+        auto const maximum_idle = request_.may_run_again() ? unlimited_idle_time : maximum_idle_unless_repeatable;
+        auto const connected =
+            co_await parts_.connections.acquire(current->address, target_connections::connect_timeout, maximum_idle);
         if (!connected) {
             parts_.placements.record_outcome(current->target, forwarding::target_outcome::unreachable);
             co_return send_result{send_outcome::not_sent, connected.error().message, {}};
--- a/Libraries/link/outbound_link.cpp
+++ b/Libraries/link/outbound_link.cpp
@@ -71,7 +71,8 @@
     retry::backoff const reconnect_backoff{initial_backoff, maximum_backoff};
     std::uint32_t failures = 0;
     while (!stopped()) {
-        failures = co_await open_connection() ? 0 : std::min(failures + 1, maximum_counted_failures);
+        bool const opened = co_await open_connection();
+        failures = opened ? 0 : std::min(failures + 1, maximum_counted_failures);
         if (failures > 0)
             co_await wait_for_change(reconnect_backoff.delay(failures, random));
         while (connected() && !stopped())
--- a/Libraries/process/configuration_client.cpp
+++ b/Libraries/process/configuration_client.cpp
@@ -30,8 +30,9 @@
 asio::awaitable<base::result<std::optional<configuration::publication_index>>>
 configuration_client::read_index(std::uint64_t after, base::milliseconds wait) const {
     auto const path = "/v1/catalogue?after=" + std::to_string(after) + "&wait_ms=" + std::to_string(wait.count());
-    auto answer = co_await http::exchange(service_, http::make_request(verb::get, path, {}),
-                                          {connect_timeout, answer_timeout + wait}, maximum_index_bytes);
+    auto message = http::make_request(verb::get, path, {});
+    http::client_timeouts const timeouts{connect_timeout, answer_timeout + wait};
+    auto answer = co_await http::exchange(service_, std::move(message), timeouts, maximum_index_bytes);
     if (!answer)
         co_return answer.error().cause;
     if (answer.value().result() == status::not_modified)
@@ -44,8 +45,9 @@
 
 asio::awaitable<base::result<configuration::part_pointer>> configuration_client::read_part(std::uint64_t digest) const {
     auto const path = "/v1/parts/" + configuration::digest_text(digest);
-    auto answer = co_await http::exchange(service_, http::make_request(verb::get, path, {}),
-                                          {connect_timeout, answer_timeout}, configuration::maximum_part_bytes);
+    auto message = http::make_request(verb::get, path, {});
+    http::client_timeouts const timeouts{connect_timeout, answer_timeout};
+    auto answer = co_await http::exchange(service_, std::move(message), timeouts, configuration::maximum_part_bytes);
     if (!answer)
         co_return answer.error().cause;
     if (answer.value().result() != status::ok)
--- a/Libraries/process/configuration_controller.cpp
+++ b/Libraries/process/configuration_controller.cpp
@@ -306,8 +306,8 @@
     // A plain read returns the index of any revision, which detects a stale service or one that has another document of
     // the same revision.
     auto const after = watch ? std::max(gossip_.revision(), service_revision_) : 0;
-    auto const answer =
-        co_await service_->read_index(after, watch ? base::milliseconds{long_poll_wait} : base::milliseconds{0});
+    auto const wait = watch ? base::milliseconds{long_poll_wait} : base::milliseconds{0};
+    auto const answer = co_await service_->read_index(after, wait);
     using enum configuration::read_outcome;
     if (!answer) {
         update_service_status(false, answer.error().message);
--- a/Libraries/process/vm_list_client.cpp
+++ b/Libraries/process/vm_list_client.cpp
@@ -61,8 +61,8 @@
     auto message = http::make_request(verb::get, "/v1/vms", {});
     if (!entity_tag_.empty())
         message.set(field::if_none_match, entity_tag_);
-    auto const answer =
-        co_await http::exchange(service_, std::move(message), {connect_timeout, answer_timeout}, maximum_list_bytes);
+    http::client_timeouts const timeouts{connect_timeout, answer_timeout};
+    auto const answer = co_await http::exchange(service_, std::move(message), timeouts, maximum_list_bytes);
     if (!answer)
         co_return answer.error().cause;
     if (answer.value().result() == status::not_modified)
--- a/Meta/check_style.sh
+++ b/Meta/check_style.sh
@@ -6,6 +6,7 @@
 build=${1:-build/release}
 mapfile -t files < <(git ls-files --cached --others --exclude-standard -- '*.cpp' '*.h' | grep -v '_generated\.h$')
 clang-format --dry-run --Werror "${files[@]}"
+Meta/check_awaited_arguments.py
 
 # A source file is linted again only when it, a header, or the lint configuration has changed.
 cache=${CYCLAMENLEDGE_LINT_CACHE:-$HOME/.cache/cyclamenledge-lint}
--- a/Tests/http/endless_answers_test.cpp
+++ b/Tests/http/endless_answers_test.cpp
@@ -96,7 +96,8 @@
 asio::awaitable<void> read_line(asio::io_context& context, tcp::endpoint endpoint, reading& result) {
     http::line_stream lines{context.get_executor()};
     http::request message{http::beast_http::verb::get, "/", http::http_version_1_1};
-    if (!co_await lines.open(endpoint, std::move(message), {}))
+    http::client_timeouts const timeouts;
+    if (!co_await lines.open(endpoint, std::move(message), timeouts))
         co_return;
     auto const started = base::clock::now();
     auto const line = co_await lines.read_line(time_limit);
--- a/Tests/platform/endless_calls_test.cpp
+++ b/Tests/platform/endless_calls_test.cpp
@@ -60,7 +60,8 @@
 
 asio::awaitable<bool> watch(asio::io_context& context, tcp::endpoint endpoint) {
     platform::store_client store{context.get_executor(), endpoint, platform::store_part::targets};
-    co_return (co_await store.watch({}, 100ms, time_limit)).has_value();
+    forwarding::store_revision const after;
+    co_return (co_await store.watch(after, 100ms, time_limit)).has_value();
 }
 
 asio::awaitable<bool> list(asio::io_context& context, tcp::endpoint endpoint) {
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -349,7 +349,9 @@
     // The session may call this after the end of the coroutine.
     auto const open = std::make_shared<bool>(true);
     client->watch_for_close([open] { *open = false; });
-    co_await pause(continued ? event_interval : base::milliseconds{prompt / prompt_tokens_per_millisecond});
+    auto const until_first_event =
+        continued ? event_interval : base::milliseconds{prompt / prompt_tokens_per_millisecond};
+    co_await pause(until_first_event);
     http::beast_http::response_header<> head;
     head.result(200);
     head.set("Content-Type", "text/event-stream");
--- a/Utilities/cyclamenctl/fetch.cpp
+++ b/Utilities/cyclamenctl/fetch.cpp
@@ -28,7 +28,8 @@
     boost::asio::io_context context{1};
     std::optional<http::client_result<http::response>> answer;
     auto exchange = [&]() -> boost::asio::awaitable<void> {
-        answer.emplace(co_await http::exchange(endpoint.value(), std::move(message), {}, maximum_answer_bytes));
+        http::client_timeouts const timeouts;
+        answer.emplace(co_await http::exchange(endpoint.value(), std::move(message), timeouts, maximum_answer_bytes));
     };
     boost::asio::co_spawn(context, exchange, boost::asio::detached);
     context.run();
