Accept fractions of a deployment's bounds in the settings

Cause: the template fills in bounds of the deployment, which may be whole numbers or fractions; the settings took whole numbers only.

Change: retry_reserve is a number; retry_window and drain_limit, which the template fills in too, take fractions of their unit. Durations of the catalogue keep their form, because all processes have to accept the same documents.

Shown by: Tests/settings (entries_start_with_fractional_bounds); before the change its row "fractions" was refused with the message above.

--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -31,7 +31,7 @@
 }
 
 forwarding::retry_bound make_retry_bound(settings::forwarding_settings const& settings) {
-    return {settings.retry_share, static_cast<double>(settings.retry_reserve), settings.retry_window};
+    return {settings.retry_share, settings.retry_reserve, settings.retry_window};
 }
 
 http::server_limits make_server_limits(settings::caller_limits const& settings,
--- a/Libraries/settings/settings.h
+++ b/Libraries/settings/settings.h
@@ -45,8 +45,8 @@
     /// Sends beyond the first one of each request, over all entries: this share of a service's requests in a window
     /// plus a reserve.
     double retry_share{0.1};
-    std::uint32_t retry_reserve{10};
-    base::seconds retry_window{10};
+    double retry_reserve{10};
+    base::milliseconds retry_window{10'000};
 };
 
 /// Settings of one daemon, read from YAML at start.
--- a/Libraries/settings/settings_reader.cpp
+++ b/Libraries/settings/settings_reader.cpp
@@ -18,6 +18,20 @@
     base::make_names({"entry", "agent", "forwarding_entry", "forwarding_agent"})};
 constexpr base::name_table<log_format, 2> format_names{base::make_names({"text", "json"})};
 
+/// A key with a duration that may have a fraction. Deployments compute such values.
+template <class Object, class Value>
+yaml_reader::field<Object> fractional_duration(std::string_view key, Value Object::*member) {
+    auto const read = [member](yaml_reader::node const& value, yaml_reader::path const& at, Object& object,
+                               yaml_reader::diagnostics& errors) {
+        base::milliseconds length{};
+        if (yaml_reader::read_fractional_duration(value, length))
+            object.*member = length;
+        else
+            errors.add(value.at, at.text(), value.describe(), yaml_reader::scalar_form(length));
+    };
+    return {key, yaml_reader::presence::optional, read, nullptr};
+}
+
 field_table<caller_limits> const& limit_fields() {
     static field_table<caller_limits> const fields{
         scalar("header_bytes", &caller_limits::header_bytes),
@@ -36,7 +50,7 @@
         text_list("regions", &forwarding_settings::regions),
         scalar("retry_share", &forwarding_settings::retry_share),
         scalar("retry_reserve", &forwarding_settings::retry_reserve),
-        scalar("retry_window", &forwarding_settings::retry_window),
+        fractional_duration("retry_window", &forwarding_settings::retry_window),
     };
     return fields;
 }
@@ -59,7 +73,7 @@
         text_list("shared_keys", &process_settings::shared_keys, required),
         yaml_reader::object("limits", &process_settings::limits, limit_fields()),
         scalar("drain_accept", &process_settings::drain_accept),
-        scalar("drain_limit", &process_settings::drain_limit),
+        fractional_duration("drain_limit", &process_settings::drain_limit),
         scalar("drain_margin", &process_settings::drain_margin),
         scalar("log_level", &process_settings::log_level),
         yaml_reader::choice("log_format", &process_settings::format, format_names),
--- a/Libraries/settings/settings_validator.cpp
+++ b/Libraries/settings/settings_validator.cpp
@@ -148,9 +148,9 @@
         add_address(*forwarding.store_address, {&at, "store_address"}, out);
     check_range(forwarding, at, range{"agent_port", &forwarding_settings::agent_port, 1U, 65535U}, out);
     check_range(forwarding, at, range{"retry_share", &forwarding_settings::retry_share, 0.0, 1.0}, out);
+    check_range(forwarding, at, range{"retry_reserve", &forwarding_settings::retry_reserve, 0.0, 1e9}, out);
     if (forwarding.retry_window < base::seconds{1} || forwarding.retry_window > base::seconds{60})
-        out.add({&at, "retry_window"}, yaml_reader::value_text(base::milliseconds{forwarding.retry_window}),
-                "1 s to 60 s");
+        out.add({&at, "retry_window"}, yaml_reader::value_text(forwarding.retry_window), "1 s to 60 s");
 }
 
 void check_limits(caller_limits const& limits, path const& root, violations& out) {
--- a/Libraries/yaml_reader/scalar.cpp
+++ b/Libraries/yaml_reader/scalar.cpp
@@ -48,6 +48,10 @@
     return is_plain_scalar(from) && assign(parse_duration(from.text), value);
 }
 
+bool read_fractional_duration(node const& from, base::milliseconds& value) {
+    return is_plain_scalar(from) && assign(parse_fractional_duration(from.text), value);
+}
+
 bool read_scalar(node const& from, base::seconds& value) {
     base::milliseconds fine{};
     if (!read_scalar(from, fine) || fine.count() % 1000 != 0)
--- a/Libraries/yaml_reader/scalar.h
+++ b/Libraries/yaml_reader/scalar.h
@@ -18,6 +18,9 @@
 bool read_scalar(node const& from, base::seconds& value);
 bool read_scalar(node const& from, base::wall_time& value);
 
+/// Reads a duration that may have a fraction. Parts of a millisecond are dropped.
+bool read_fractional_duration(node const& from, base::milliseconds& value);
+
 template <class Value>
 bool read_scalar(node const& from, std::optional<Value>& value) {
     return read_scalar(from, value.emplace());
--- a/Libraries/yaml_reader/values.cpp
+++ b/Libraries/yaml_reader/values.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::string_view digits = "0123456789";
+constexpr std::string_view fraction_digits = "0123456789.";
 constexpr std::size_t longest_name = 64;
 constexpr std::size_t longest_label = 128;
 constexpr std::size_t sha256_digits = 64;
@@ -22,6 +23,12 @@
 };
 constexpr std::array<duration_unit, 4> units{{{"ms", 1}, {"s", 1000}, {"min", 60'000}, {"h", 3'600'000}}};
 
+auto find_unit(std::string_view text) {
+    if (text.starts_with(' '))
+        text.remove_prefix(1);
+    return std::ranges::find(units, text, &duration_unit::name);
+}
+
 bool only(std::string_view text, std::string_view letters) {
     return !text.empty() && text.find_first_not_of(letters) == std::string_view::npos;
 }
@@ -46,7 +53,7 @@
 
 std::optional<double> parse_number(std::string_view text) {
     double value = 0;
-    if (!only(text, "0123456789.") || text.front() == '.' || text.back() == '.')
+    if (!only(text, fraction_digits) || text.front() == '.' || text.back() == '.')
         return std::nullopt;
     auto const parsed = std::from_chars(text.data(), text.data() + text.size(), value);
     bool const whole = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
@@ -56,10 +63,7 @@
 std::optional<base::milliseconds> parse_duration(std::string_view text) {
     auto const number_end = std::min(text.size(), text.find_first_not_of(digits));
     auto const value = parse_whole_number(text.substr(0, number_end));
-    auto unit_name = text.substr(number_end);
-    if (unit_name.starts_with(' '))
-        unit_name.remove_prefix(1);
-    auto const unit = std::ranges::find(units, unit_name, &duration_unit::name);
+    auto const unit = find_unit(text.substr(number_end));
     if (!value || unit == units.end())
         return std::nullopt;
     if (*value > static_cast<std::uint64_t>(maximum_duration.count()) / unit->milliseconds)
@@ -67,6 +71,18 @@
     return base::milliseconds{static_cast<std::int64_t>(*value * unit->milliseconds)};
 }
 
+std::optional<base::milliseconds> parse_fractional_duration(std::string_view text) {
+    auto const number_end = std::min(text.size(), text.find_first_not_of(fraction_digits));
+    auto const value = parse_number(text.substr(0, number_end));
+    auto const unit = find_unit(text.substr(number_end));
+    if (!value || unit == units.end())
+        return std::nullopt;
+    auto const length = *value * static_cast<double>(unit->milliseconds);
+    if (length > static_cast<double>(maximum_duration.count()))
+        return std::nullopt;
+    return base::milliseconds{static_cast<std::int64_t>(length)};
+}
+
 std::optional<base::wall_time> parse_time(std::string_view text) {
     constexpr std::string_view form = "dddd-dd-ddTdd:dd:ddZ";
     bool const shaped = std::ranges::equal(text, form, [](char letter, char wanted) {
--- a/Libraries/yaml_reader/values.h
+++ b/Libraries/yaml_reader/values.h
@@ -18,6 +18,8 @@
 std::optional<double> parse_number(std::string_view text);
 /// A whole number with a unit: `390 ms`, `5 s`, `10 min` or `24 h`.
 std::optional<base::milliseconds> parse_duration(std::string_view text);
+/// A number with an optional fraction and a unit: `390 ms`, `7.5 s`. Parts of a millisecond are dropped.
+std::optional<base::milliseconds> parse_fractional_duration(std::string_view text);
 /// UTC to the second, such as `2026-12-01T00:00:00Z`.
 std::optional<base::wall_time> parse_time(std::string_view text);
 
--- a/Tests/settings/settings_reader_test.cpp
+++ b/Tests/settings/settings_reader_test.cpp
@@ -2,6 +2,7 @@
 #include "support/malformed_document.h"
 #include "support/mutated_document.h"
 #include "support/property.h"
+#include "support/table_test.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -75,6 +76,7 @@
     CPPUNIT_TEST(refuses_malformed_documents);
     CPPUNIT_TEST(keeps_shared_keys_out_of_messages);
     CPPUNIT_TEST(reports_a_missing_file);
+    CPPUNIT_TEST(entries_start_with_fractional_bounds);
     CPPUNIT_TEST(examples_are_accepted);
     CPPUNIT_TEST(mutations_give_settings_or_a_place);
     CPPUNIT_TEST_SUITE_END();
@@ -117,6 +119,41 @@
         CPPUNIT_ASSERT(settings::read_settings_file("/").has_error());
     }
 
+    /// Guards against a system of which no process starts, because a deployment gives a bound with a fraction.
+    void entries_start_with_fractional_bounds() {
+        struct row {
+            char const* name;
+            char const* reserve;
+            char const* window;
+            char const* drain_limit;
+            double expected_reserve;
+            base::milliseconds expected_window;
+            base::milliseconds expected_drain_limit;
+        };
+        using base::milliseconds;
+        std::vector<row> const table{
+            {"whole numbers", "54", "10 s", "8 s", 54, milliseconds{10'000}, milliseconds{8000}},
+            {"fractions", "36.1764705882353", "7.5 s", "8.2504 s", 36.1764705882353, milliseconds{7500},
+             milliseconds{8250}},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto text = replaced(valid_settings, "role: entry", "role: forwarding_entry");
+            text = replaced(text, "threads: 2\n", "");
+            text =
+                replaced(text, "configuration_address: \"127.0.0.1:8083\"\nvm_list_address: \"127.0.0.1:8084\"\n", "");
+            text = replaced(text, "drain_limit: 1 h", std::string{"drain_limit: "} + tested.drain_limit);
+            text +=
+                std::string{"forwarding:\n  store_address: \"127.0.0.1:8086\"\n  agent_port: 7200\n  retry_reserve: "} +
+                tested.reserve + "\n  retry_window: " + tested.window + "\n";
+            auto const read = settings::read_settings(text, "test.yaml");
+            CPPUNIT_ASSERT_MESSAGE(read.has_error() ? read.error().message : "", read.has_value());
+            auto const forwarding = read.value().forwarding;
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(tested.expected_reserve, forwarding.retry_reserve, 1e-9);
+            CPPUNIT_ASSERT(tested.expected_window == forwarding.retry_window);
+            CPPUNIT_ASSERT(tested.expected_drain_limit == read.value().drain_limit);
+        });
+    }
+
     /// Guards against examples that a stricter rule has made invalid.
     void examples_are_accepted() {
         for (std::string const file : {"vatuloa/entry", "vatuloa/agent", "fjordvinge/entry", "fjordvinge/agent"}) {
