Move streams off leaving engines without agents

Cause: choose_copy_holder took engines without a current report for full, so that no stream could move when no agent reported: where there are none, and after all of them are lost. An engine refuses a copy that does not fit, and the first run goes on meanwhile.

Change: a stream whose engine leaves may also be copied to an engine whose load is not known, on the terms on which requests are placed there. Known room goes first, in any region. Replicas still need known room, because they are made for every stream.

Ruled out: the way of the copy itself needs no agent; copy slots and reservations are skipped at once without one.

Test: forwarding/streams_leave_engines_without_agents, whose row "no agents" fails without the change.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -18,6 +18,8 @@
 // Exceeds any distance. A stream goes on at an engine without a permit only when no other engine has room, because its
 // loss would be worse than one request beyond the engine's rate.
 constexpr double permitless_copy_score = 1000;
+// Exceeds any distance too: room that is known goes first, because a refused copy costs time of a leaving engine.
+constexpr double unreported_copy_score = 500;
 // Random addition to the score, so that entries with equal views spread over targets of nearly equal load.
 constexpr double score_jitter = 0.06;
 // Load for each second until the engine has read the prompt of a new request. The first event is delayed by that time,
@@ -246,21 +248,27 @@
     auto const* engine = capacity(target);
     if (engine == nullptr)
         return true;
-    if (!reported(target, now)) {
-        // Until its agent has reported the requests sent to it, a new engine looks idle to all entries at once.
-        if (!target.report && now - target.seen_at < first_report_timeout)
-            return false;
-        auto const entries = count_entries(now);
-        return target.open_requests < std::max(1.0, entries ? unreported_slot_share * engine->slots / *entries : 0);
-    }
+    if (!reported(target, now))
+        return has_unreported_room(target, *engine, now);
     return room(target, now).fits_prompt(size.expected_memory(), engine->slots);
 }
 
-bool fleet_view::has_room_for_copy(target_view const& target, std::uint32_t tokens, double room_share,
-                                   base::time_point now) const {
+bool fleet_view::has_unreported_room(target_view const& target, engine_capacity const& engine,
+                                     base::time_point now) const {
+    // Until its agent has reported the requests sent to it, a new engine looks idle to all entries at once.
+    if (!target.report && now - target.seen_at < first_report_timeout)
+        return false;
+    auto const entries = count_entries(now);
+    return target.open_requests < std::max(1.0, entries ? unreported_slot_share * engine.slots / *entries : 0);
+}
+
+bool fleet_view::has_room_for_copy(target_view const& target, copy_request const& copy, base::time_point now) const {
     auto const* engine = capacity(target);
-    // Without a current report, the engine must be assumed to be full.
-    return engine != nullptr && reported(target, now) && room(target, now).fits_copy(tokens, room_share, engine->slots);
+    if (engine == nullptr)
+        return false;
+    if (!reported(target, now))
+        return copy.accept_unreported && has_unreported_room(target, *engine, now);
+    return room(target, now).fits_copy(copy.tokens, copy.room_share, engine->slots);
 }
 
 double fleet_view::distance(target_view const& target) const {
@@ -427,14 +435,15 @@
         // Beyond its rate, a cold engine crashes.
         bool const too_cold = !permitted && now < target.cold_until;
         if (id == copy.source || !eligible(target, copy.request, now) || target.hold_off.active(now) ||
-            target.health.ejected(now) || too_cold || !has_room_for_copy(target, copy.tokens, copy.room_share, now))
+            target.health.ejected(now) || too_cold || !has_room_for_copy(target, copy, now))
             continue;
         auto const span = source == nullptr ? copy_span::other_region : span_between(*source, target);
         if (span > copy.widest)
             continue;
         double const score = load(target, copy.request.size, now) +
                              copy_span_scores.at(static_cast<std::size_t>(span)) + score_jitter * random_.unit() +
-                             (permitted ? 0 : permitless_copy_score);
+                             (permitted ? 0 : permitless_copy_score) +
+                             (reported(target, now) ? 0 : unreported_copy_score);
         if (best == nullptr || score < best_score) {
             best = &target;
             best_score = score;
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -58,6 +58,8 @@
     double room_share{1};
     /// Maximum distance of the destination.
     copy_span widest{copy_span::other_region};
+    /// Also considers engines whose load is not known. They refuse a copy that does not fit.
+    bool accept_unreported{false};
 };
 
 enum class placement_kind : std::uint8_t {
@@ -252,8 +254,9 @@
     void add_held(held_targets& found, target_view const& target, base::time_point now) const;
     bool eligible(target_view const& target, placement_request const& request, base::time_point now) const;
     bool has_room(target_view const& target, generation_size const& size, base::time_point now) const;
-    bool has_room_for_copy(target_view const& target, std::uint32_t tokens, double room_share,
-                           base::time_point now) const;
+    /// Whether an engine without a current report may get another request of this entry.
+    bool has_unreported_room(target_view const& target, engine_capacity const& engine, base::time_point now) const;
+    bool has_room_for_copy(target_view const& target, copy_request const& copy, base::time_point now) const;
     static bool reported(target_view const& target, base::time_point now);
     static engine_room room(target_view const& target, base::time_point now);
     static copy_span span_between(target_view const& one, target_view const& other);
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -812,6 +812,8 @@
     copy.tokens = tokens_held() + copy_headroom_tokens;
     copy.room_share = copy_room_share;
     copy.widest = widest_copy(*source);
+    // The stream is lost with its engine otherwise.
+    copy.accept_unreported = true;
     auto const chosen = parts_.board.fleet.choose_copy_holder(copy, base::clock::now());
     if (chosen.kind != forwarding::placement_kind::placed) {
         refused.clear();
--- a/Tests/forwarding/placement_test.cpp
+++ b/Tests/forwarding/placement_test.cpp
@@ -97,6 +97,7 @@
     CPPUNIT_TEST(new_engines_get_no_prompts_before_their_first_report);
     CPPUNIT_TEST(ejection_never_leaves_a_service_without_targets);
     CPPUNIT_TEST(copies_prefer_the_nearest_engine);
+    CPPUNIT_TEST(streams_leave_engines_without_agents);
     CPPUNIT_TEST(copies_avoid_engines_at_their_limit);
     CPPUNIT_TEST(copies_need_a_permit_at_a_cold_engine);
     CPPUNIT_TEST(copies_ignore_unread_prompts);
@@ -244,6 +245,42 @@
         });
     }
 
+    // Guards against streams that are lost with a leaving engine while no agent reports the load of another one: all
+    // agents were lost, or the deployment has none.
+    void streams_leave_engines_without_agents() {
+        struct row {
+            std::string name;
+            std::vector<std::string> unreported;
+            std::vector<std::string> reported;
+            bool accept_unreported;
+            base::milliseconds known_for;
+            std::uint32_t open_requests;
+            std::string expected;
+        };
+        std::vector<row> const table{
+            {"no agents", {"a"}, {}, true, 2s, 0, "a"},
+            {"known room first", {"a"}, {"far"}, true, 2s, 0, "far"},
+            {"a replica needs known room", {"a"}, {}, false, 2s, 0, ""},
+            {"a new engine has not reported yet", {"a"}, {}, true, 500ms, 0, ""},
+            {"already used by this entry", {"a"}, {}, true, 2s, 1, ""},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto fleet = make_fleet();
+            fleet.update_target(engine_record("source", "north-a"), fleet_start);
+            for (auto const& id : tested.unreported)
+                fleet.update_target(engine_record(id, "north-a"), fleet_start);
+            auto const now = fleet_start + tested.known_for;
+            for (auto const& id : tested.reported) {
+                fleet.update_target(engine_record(id, "south-a"), fleet_start);
+                fleet.update_report(id + ":1", idle_report(), now);
+            }
+            for (std::uint32_t open = 0; open < tested.open_requests; ++open)
+                fleet.begin_request("a", std::nullopt, now);
+            copy_request wanted{generation(), "source", 4000, 0.97, copy_span::other_region, tested.accept_unreported};
+            CPPUNIT_ASSERT_EQUAL(tested.expected, fleet.choose_copy_holder(wanted, now).target);
+        });
+    }
+
     // Guards against streams that resume at an engine beyond the limit that it names, and against streams that are lost
     // because all other engines have limits.
     void copies_avoid_engines_at_their_limit() {
