--- a/Libraries/forwarding/engine_report.h
+++ b/Libraries/forwarding/engine_report.h
@@ -42,6 +42,17 @@
     double reading_pace{default_reading_pace};
     /// Memory that the running requests and the reservations are expected to occupy.
     std::uint32_t committed_tokens{0};
+    /// Requests of several entries fail at the engine.
+    bool failing{false};
+    /// Requests that wait at the agent for room, and the memory that they are expected to occupy.
+    std::uint32_t waiting{0};
+    std::uint32_t waiting_tokens{0};
+    /// Time until a request of usual size that arrives now gets room, if it is known.
+    std::optional<base::milliseconds> room_in;
+    /// How long work takes at the engine in relation to its nominal speed, as a rule and at the time of the report. Zero
+    /// if it is not known.
+    double pace{0};
+    double pace_now{0};
 
     /// Corresponds to an engine that reads a chunk of 112 tokens in each step of 16 ms.
     static constexpr double default_reading_pace = 7;
--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -60,6 +60,12 @@
     , regions_(std::move(regions))
     , random_(seed) {}
 
+void fleet_view::apply_routes(route_set_pointer routes) {
+    routes_ = std::move(routes);
+    if (routes_)
+        overload_.apply_routes(*routes_);
+}
+
 std::string const& fleet_view::region_of(std::string const& failure_domain) const {
     static std::string const unknown;
     auto const found = regions_.find(failure_domain);
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -6,6 +6,7 @@
 #include "forwarding/engine_room.h"
 #include "forwarding/entry_count.h"
 #include "forwarding/generation_size.h"
+#include "forwarding/overload_control.h"
 #include "forwarding/permit_issuer.h"
 #include "forwarding/permit_stock.h"
 #include "forwarding/route_set.h"
@@ -152,7 +153,13 @@
 
     fleet_view(std::string failure_domain, std::map<std::string, std::string> regions, std::uint64_t seed);
 
-    void apply_routes(route_set_pointer routes) { routes_ = std::move(routes); }
+    void configure_overload(overload_settings const& settings) { overload_.configure(settings); }
+    void apply_routes(route_set_pointer routes);
+    /// A target has stated its pace, so that its service is under overload control if the settings say so.
+    void on_pace_stated(std::string_view service) { overload_.on_pace_stated(service); }
+    /// Whether requests of the service wait at the agents and may be refused on arrival.
+    bool under_overload_control(std::string_view service) const { return overload_.applies_to(service); }
+    bool follows_pace() const { return overload_.follows_pace(); }
     void update_target(target_record const& record, base::time_point now);
     void remove_target(std::string const& id, bool store_unreachable, base::time_point now);
     void set_evacuated(std::string const& failure_domain, bool evacuated);
@@ -276,6 +283,7 @@
     std::map<std::string, std::string> regions_;
     base::random_source random_;
     route_set_pointer routes_;
+    overload_control overload_;
     std::map<std::string, target_view> targets_;
     std::set<std::string> evacuated_;
     entry_count entries_;
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -207,6 +207,12 @@
     content.unread_tokens = report.unread_tokens;
     content.reading_pace = static_cast<float>(report.reading_pace);
     content.committed_tokens = report.committed_tokens;
+    content.failing = report.failing;
+    content.waiting = report.waiting;
+    content.waiting_tokens = report.waiting_tokens;
+    content.room_in_ms = report.room_in ? static_cast<std::uint32_t>(report.room_in->count()) + 1 : 0;
+    content.pace = static_cast<float>(report.pace);
+    content.pace_now = static_cast<float>(report.pace_now);
     return content;
 }
 
--- a/Libraries/forwarding_entry/agent_controller.cpp
+++ b/Libraries/forwarding_entry/agent_controller.cpp
@@ -28,6 +28,13 @@
     report.unread_tokens = message.unread_tokens;
     report.reading_pace = message.reading_pace;
     report.committed_tokens = message.committed_tokens;
+    report.failing = message.failing;
+    report.waiting = message.waiting;
+    report.waiting_tokens = message.waiting_tokens;
+    if (message.room_in_ms > 0)
+        report.room_in = base::milliseconds{message.room_in_ms - 1};
+    report.pace = message.pace;
+    report.pace_now = message.pace_now;
     return report;
 }
 
--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -85,6 +85,9 @@
     , caller_server_(daemon.context(), make_server_limits(daemon.settings().limits, {}), forwarder_)
     , readiness_server_(daemon.context(), {}, readiness_)
     , operator_server_(daemon.context(), {}, operators_) {
+    auto const& forwarding = daemon.settings().forwarding;
+    board_.fleet.configure_overload(
+        {forwarding.deferrable_objective, forwarding.target_pace == settings::pace_use::follow});
     suspects_.start();
     store_.set_relays(peers_.relays());
     publications_.set_observer([this] { on_targets_change(); });
--- a/Libraries/forwarding_entry/placement_controller.cpp
+++ b/Libraries/forwarding_entry/placement_controller.cpp
@@ -192,20 +192,20 @@
     }
 }
 
-void placement_controller::release(std::string const& target, std::string const& request) {
+void placement_controller::release(std::string const& target, std::string const& request, run_end const& end) {
     board_.fleet.end_request(target);
-    end_reservation(target, request);
+    end_reservation(target, request, end);
 }
 
 void placement_controller::withdraw(std::string const& target, std::string const& request) {
     board_.fleet.withdraw_request(target, base::clock::now());
-    end_reservation(target, request);
+    end_reservation(target, request, {});
 }
 
-void placement_controller::end_reservation(std::string const& target, std::string const& request) {
+void placement_controller::end_reservation(std::string const& target, std::string const& request, run_end const& end) {
     auto const* view = board_.fleet.find(target);
     if (view != nullptr && view->report)
-        reservations_.release(view->record.address, request);
+        reservations_.release(view->record.address, request, end);
     on_capacity_change();
 }
 
--- a/Libraries/forwarding_entry/placement_controller.h
+++ b/Libraries/forwarding_entry/placement_controller.h
@@ -33,7 +33,7 @@
     /// The same, but at once or not at all: the request has a target already. No value when no other target with room
     /// may receive it now.
     boost::asio::awaitable<std::optional<std::string>> place_now(placement_need need);
-    void release(std::string const& target, std::string const& request);
+    void release(std::string const& target, std::string const& request, run_end const& end = {});
     /// The same for a request that was not sent to the target.
     void withdraw(std::string const& target, std::string const& request);
 
@@ -84,7 +84,7 @@
     /// Time until the next refused caller should return.
     base::milliseconds next_return(forwarding::placement_request const& request,
                                    forwarding::placement const& exhausted);
-    void end_reservation(std::string const& target, std::string const& request);
+    void end_reservation(std::string const& target, std::string const& request, run_end const& end);
 
     boost::asio::io_context& context_;
     blackboard& board_;
--- a/Libraries/forwarding_entry/reservation_client.cpp
+++ b/Libraries/forwarding_entry/reservation_client.cpp
@@ -52,12 +52,14 @@
     co_return pending.reply;
 }
 
-void reservation_client::release(std::string const& engine_address, std::string const& request) {
+void reservation_client::release(std::string const& engine_address, std::string const& request, run_end const& end) {
     auto const agent = agents_.find(engine_address);
     if (!agent)
         return;
     wire::schema::PlaceEndT message;
     message.request = request;
+    message.outcome = static_cast<std::uint8_t>(end.outcome);
+    message.pace = static_cast<float>(end.stated_pace);
     agent->send(message);
 }
 
--- a/Libraries/forwarding_entry/reservation_client.h
+++ b/Libraries/forwarding_entry/reservation_client.h
@@ -23,6 +23,21 @@
 
 std::string_view name_of(reservation_reply reply);
 
+/// How a request's run at a target has ended, as far as other entries have to know. The values are those of the wire.
+enum class run_outcome : std::uint8_t {
+    not_known = 0,
+    /// The target sent at least one event.
+    served = 1,
+    /// The target answered with an error of its own or with nothing.
+    failed = 2,
+};
+
+struct run_end {
+    run_outcome outcome{run_outcome::not_known};
+    /// Pace that the target stated in its answer. Zero if it stated none.
+    double stated_pace{0};
+};
+
 /// Reserves memory and a slot with the agent beside an engine before a request is sent to the engine.
 class reservation_client {
 public:
@@ -30,7 +45,7 @@
 
     boost::asio::awaitable<reservation_reply> reserve(std::string engine_address, wire::schema::PlaceRequestT message);
     /// Ends the reservation of a request that is no longer at the engine or was never sent to it.
-    void release(std::string const& engine_address, std::string const& request);
+    void release(std::string const& engine_address, std::string const& request, run_end const& end = {});
 
 private:
     struct pending_reservation {
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -240,6 +240,8 @@
     created->answer_memory = base::byte_lease{parts_.answer_memory};
     created->context.target = target;
     created->context.organisation = request_.organisation == nullptr ? "" : request_.organisation->name;
+    if (parts_.board.fleet.under_overload_control(request_.service))
+        created->context.priority = request_.priority();
     return created;
 }
 
--- a/Libraries/settings/settings.h
+++ b/Libraries/settings/settings.h
@@ -24,6 +24,9 @@
 /// text: lines for people on standard error. json: one object a line on standard output.
 enum class log_format : std::uint8_t { text, json };
 
+/// What an entry does with the pace of work that targets state in their answers.
+enum class pace_use : std::uint8_t { ignore, follow };
+
 /// Bounds on what a caller may send.
 struct caller_limits {
     std::size_t header_bytes{16 * 1024};
@@ -47,6 +50,10 @@
     double retry_share{0.1};
     double retry_reserve{10};
     base::milliseconds retry_window{10'000};
+    /// Services with a stream route of at least this latency objective are under overload control. Zero for none.
+    base::milliseconds deferrable_objective{0};
+    /// Whether the paces that targets state are used. Services with such targets are under overload control too.
+    pace_use target_pace{pace_use::ignore};
 };
 
 /// Settings of one daemon, read from YAML at start.
--- a/Libraries/settings/settings_reader.cpp
+++ b/Libraries/settings/settings_reader.cpp
@@ -17,6 +17,7 @@
 constexpr base::name_table<process_role, 4> role_names{
     base::make_names({"entry", "agent", "forwarding_entry", "forwarding_agent"})};
 constexpr base::name_table<log_format, 2> format_names{base::make_names({"text", "json"})};
+constexpr base::name_table<pace_use, 2> pace_names{base::make_names({"ignore", "follow"})};
 
 /// A key with a duration that may have a fraction. Deployments compute such values.
 template <class Object, class Value>
@@ -51,6 +52,8 @@
         scalar("retry_share", &forwarding_settings::retry_share),
         scalar("retry_reserve", &forwarding_settings::retry_reserve),
         fractional_duration("retry_window", &forwarding_settings::retry_window),
+        scalar("deferrable_objective", &forwarding_settings::deferrable_objective),
+        yaml_reader::choice("target_pace", &forwarding_settings::target_pace, pace_names),
     };
     return fields;
 }
--- a/Libraries/settings/settings_validator.cpp
+++ b/Libraries/settings/settings_validator.cpp
@@ -151,6 +151,8 @@
     check_range(forwarding, at, range{"retry_reserve", &forwarding_settings::retry_reserve, 0.0, 1e9}, out);
     if (forwarding.retry_window < base::seconds{1} || forwarding.retry_window > base::seconds{60})
         out.add({&at, "retry_window"}, yaml_reader::value_text(forwarding.retry_window), "1 s to 60 s");
+    if (forwarding.deferrable_objective < base::seconds{0} || forwarding.deferrable_objective > base::seconds{60})
+        out.add({&at, "deferrable_objective"}, yaml_reader::value_text(forwarding.deferrable_objective), "0 s to 60 s");
 }
 
 void check_limits(caller_limits const& limits, path const& root, violations& out) {
