Let requests wait at the agents and refuse those that no engine can serve in time

No request was refused, however late room was expected.

Change: under overload control an entry asks one agent and lets the request wait there for up to 300 ms, at the engine that reports room first. If every agent reports room only after the request is useless, it is refused at once and told to return when room is expected. Engines marked as failing are avoided like ejected ones. Without overload control nothing changes.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -22,6 +22,11 @@
 constexpr double unreported_copy_score = 500;
 // Random addition to the score, so that entries with equal views spread over targets of nearly equal load.
 constexpr double score_jitter = 0.06;
+// Random addition to the expected wait in seconds, so that entries with equal views spread over engines that are
+// expected to have room at nearly the same time.
+constexpr double queue_jitter = 0.2;
+// Time in which the memory of a busy engine is given to other requests: a long stream runs for about this long.
+constexpr base::seconds memory_turnover{8};
 // Load for each second until the engine has read the prompt of a new request. The first event is delayed by that time,
 // so an engine in another region is preferred to one with a quarter of a second more of it.
 constexpr double load_per_prefill_second = 1.0;
@@ -268,6 +273,57 @@
     return target.open_requests < std::max(1.0, entries ? unreported_slot_share * engine.slots / *entries : 0);
 }
 
+bool fleet_view::ejected(target_view const& target, base::time_point now) const {
+    bool const failing = target.report && target.report->failing && reported(target, now) &&
+                         under_overload_control(target.record.service);
+    return failing || target.health.ejected(now);
+}
+
+base::milliseconds fleet_view::expected_wait(target_view const& target, generation_size const& size,
+                                             base::time_point now) {
+    auto const& report = *target.report;
+    auto const age = std::chrono::duration_cast<base::milliseconds>(now - target.reported_at);
+    if (report.room_in)
+        return std::max(base::milliseconds{0}, *report.room_in - age);
+    auto const wanted = static_cast<double>(report.committed_tokens) + report.waiting_tokens + size.expected_memory();
+    auto const missing = std::max(0.0, wanted - report.total_tokens);
+    return std::chrono::duration_cast<base::milliseconds>(
+        base::from_seconds(missing / (report.total_tokens / base::to_seconds(memory_turnover) + 1)));
+}
+
+room_outlook fleet_view::find_room_outlook(placement_request const& request, base::time_point now) const {
+    room_outlook outlook;
+    for (auto const& [id, target] : targets_) {
+        if (!request.size || !eligible(target, request, now))
+            continue;
+        ++outlook.engines;
+        if (!reported(target, now) || !target.report->room_in || target.hold_off.active(now))
+            continue;
+        auto const per_second =
+            target.report->total_tokens / base::to_seconds(memory_turnover) / (request.size->expected_memory() + 1);
+        outlook.add(expected_wait(target, *request.size, now), per_second,
+                    std::chrono::duration_cast<base::milliseconds>(now - target.reported_at));
+    }
+    return outlook;
+}
+
+std::optional<std::string> fleet_view::choose_queue(placement_request const& request, base::time_point now) {
+    target_view const* best = nullptr;
+    double best_score = 0;
+    for (auto& [id, target] : targets_) {
+        if (!request.size || !eligible(target, request, now) || target.hold_off.active(now) || ejected(target, now) ||
+            !reported(target, now) || !permits_request(target, now))
+            continue;
+        double const score = base::to_seconds(expected_wait(target, *request.size, now)) + distance(target) +
+                             queue_jitter * random_.unit();
+        if (best == nullptr || score < best_score) {
+            best = &target;
+            best_score = score;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional{best->record.id};
+}
+
 bool fleet_view::has_room_for_copy(target_view const& target, copy_request const& copy, base::time_point now) const {
     auto const* engine = capacity(target);
     if (engine == nullptr)
@@ -381,7 +437,7 @@
 
 placement fleet_view::choose(placement_request const& request, base::time_point now) {
     std::vector<candidate> healthy;
-    std::vector<candidate> ejected;
+    std::vector<candidate> ejected_targets;
     std::vector<candidate> overcommitted;
     permitless_targets permitless;
     held_targets held;
@@ -400,14 +456,14 @@
         bool const room = !request.size || has_room(target, *request.size, now);
         if (!permits_request(target, now)) {
             any_cold = any_cold || !target.limit.per_second();
-            if (target.limit.per_second() && (room || request.accept_overcommit) && !target.health.ejected(now))
+            if (target.limit.per_second() && (room || request.accept_overcommit) && !ejected(target, now))
                 add_permitless(permitless, {&target, score}, now);
             continue;
         }
         if (!room)
             overcommitted.push_back({&target, score});
-        else if (target.health.ejected(now))
-            ejected.push_back({&target, score});
+        else if (ejected(target, now))
+            ejected_targets.push_back({&target, score});
         else
             healthy.push_back({&target, score});
     }
@@ -422,8 +478,8 @@
         return place_at_best(healthy, "least_loaded");
     // Ejected targets are still used if no other target has room, so that ejection cannot cause an outage of the
     // service.
-    if (!ejected.empty())
-        return place_at_best(ejected, "all_others_full_or_ejected");
+    if (!ejected_targets.empty())
+        return place_at_best(ejected_targets, "all_others_full_or_ejected");
     if (!overcommitted.empty() && request.accept_overcommit)
         return place_at_best(overcommitted, "crowded");
     if (any_eligible)
@@ -441,7 +497,7 @@
         // Beyond its rate, a cold engine crashes.
         bool const too_cold = !permitted && now < target.cold_until;
         if (id == copy.source || !eligible(target, copy.request, now) || target.hold_off.active(now) ||
-            target.health.ejected(now) || too_cold || !has_room_for_copy(target, copy, now))
+            ejected(target, now) || too_cold || !has_room_for_copy(target, copy, now))
             continue;
         auto const span = source == nullptr ? copy_span::other_region : span_between(*source, target);
         if (span > copy.widest)
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "forwarding/arrival_decision.h"
 #include "forwarding/engine_report.h"
 #include "forwarding/engine_room.h"
 #include "forwarding/entry_count.h"
@@ -45,6 +46,8 @@
     base::time_point wait_until{};
     /// Requests of the service that wait at this entry.
     std::size_t waiting{0};
+    /// 0 is the most urgent.
+    std::uint32_t priority{0};
 };
 
 /// Network distance between the source and the destination of a copy.
@@ -182,6 +185,11 @@
 
     /// Chooses the eligible target with the lowest load for a request.
     placement choose(placement_request const& request, base::time_point now);
+    /// Chooses the engine at whose agent a request waits that finds no room: the one that is expected to have room
+    /// first. No value if no agent is known to keep requests waiting.
+    std::optional<std::string> choose_queue(placement_request const& request, base::time_point now);
+    /// When the engines that may run the request are expected to have room for it.
+    room_outlook find_room_outlook(placement_request const& request, base::time_point now) const;
     /// Chooses an engine to which the memory of a running request is moved or backed up.
     placement choose_copy_holder(copy_request const& copy, base::time_point now);
     /// Reserves memory at the target for a copy that this process is about to make. Returns the reservation number.
@@ -267,6 +275,11 @@
     static bool reported(target_view const& target, base::time_point now);
     static engine_room room(target_view const& target, base::time_point now);
     static copy_span span_between(target_view const& one, target_view const& other);
+    /// Whether requests of this process, or those of several entries, fail at the target.
+    bool ejected(target_view const& target, base::time_point now) const;
+    /// Time until the engine is expected to have room for the request, from its report.
+    static base::milliseconds expected_wait(target_view const& target, generation_size const& size,
+                                            base::time_point now);
     /// Whether the target's rate permits a request now.
     bool permits_request(target_view& target, base::time_point now);
     void update_permits(target_view& target, base::time_point now);
--- a/Libraries/forwarding_entry/placement_controller.cpp
+++ b/Libraries/forwarding_entry/placement_controller.cpp
@@ -23,6 +23,17 @@
 constexpr int maximum_reservation_attempts = 4;
 // Delay before a request that may overcommit a target, but whose agent refused or did not answer, is tried again.
 constexpr base::milliseconds reservation_retry_delay{100};
+// How long a request waits at one agent before its entry looks for a better engine. Reports of the others are at most
+// this much older than the choice.
+constexpr base::milliseconds agent_wait{300};
+// An answer within this time was not waited for: the agent's queue is full, or it keeps none.
+constexpr base::milliseconds immediate_answer{60};
+// Requests of this entry that wait at agents. Beyond it, a caller is served faster by another entry.
+constexpr std::size_t maximum_waiting_at_agents = 256;
+
+base::milliseconds time_between(base::time_point start, base::time_point end) {
+    return std::chrono::duration_cast<base::milliseconds>(std::max(base::duration{0}, end - start));
+}
 
 std::uint64_t milliseconds_between(base::time_point start, base::time_point end) {
     return static_cast<std::uint64_t>(
@@ -88,7 +99,8 @@
     return made;
 }
 
-asio::awaitable<bool> placement_controller::reserve_at_agent(placement_need& need, choice chosen) {
+asio::awaitable<bool> placement_controller::reserve_at_agent(placement_need& need, choice chosen,
+                                                             base::milliseconds wait) {
     auto const target = chosen.placed.target;
     auto const* view = board_.fleet.find(target);
     auto reply = reservation_reply::granted;
@@ -99,6 +111,10 @@
         message.memory_tokens = need.request.size->expected_memory();
         message.slots = board_.fleet.slots_of(target);
         message.accept_crowded = need.request.accept_overcommit;
+        message.priority = need.priority;
+        message.wait_ms = static_cast<std::uint32_t>(wait.count());
+        message.on_time_ms = static_cast<std::uint32_t>(milliseconds_between(base::clock::now(), need.on_time_until));
+        message.waited_ms = static_cast<std::uint32_t>(milliseconds_between(need.arrived, base::clock::now()));
         reply = co_await reservations_.reserve(view->record.address, std::move(message));
         board_.fleet.release_reservation(target, chosen.reservation);
         view = board_.fleet.find(target);
@@ -134,8 +150,72 @@
     co_return std::nullopt;
 }
 
+std::optional<placement_controller::choice> placement_controller::choose_or_queue(placement_need& need,
+                                                                                  base::time_point now) {
+    need.request.wait_until = need.on_time_until;
+    need.request.waiting = waiting_at_agents_;
+    choice made{choose_and_request_permit(need, now), 0};
+    if (made.placed.kind == forwarding::placement_kind::wait) {
+        auto queue = board_.fleet.choose_queue(need.request, now);
+        if (!queue)
+            return std::nullopt;
+        made.placed = {forwarding::placement_kind::placed, std::move(*queue), "first_room"};
+    }
+    if (made.placed.kind == forwarding::placement_kind::placed)
+        made.reservation = board_.fleet.begin_request(made.placed.target, need.request.size, now);
+    return made;
+}
+
+std::optional<base::error> placement_controller::refuse_without_outlook(placement_need const& need,
+                                                                        base::time_point now) {
+    auto const outlook = board_.fleet.find_room_outlook(need.request, now);
+    auto const useful_for = time_between(now, need.give_up_at);
+    if (forwarding::decide_arrival(outlook, useful_for) == forwarding::arrival_verdict::accept)
+        return std::nullopt;
+    auto const entries = board_.fleet.count_entries(now).value_or(1);
+    auto& schedule = return_schedules_[std::string{need.request.service}];
+    auto const return_in = schedule.next(now + outlook.first_room, outlook.per_second / entries, now);
+    return refuse(need, "no_room_in_time", return_in);
+}
+
+asio::awaitable<base::result<std::string>> placement_controller::place_by_agents(placement_need need) {
+    if (waiting_at_agents_ >= maximum_waiting_at_agents)
+        co_return refuse(need, "line_full");
+    ++waiting_at_agents_;
+    auto result = co_await wait_at_agents(need);
+    --waiting_at_agents_;
+    co_return result;
+}
+
+asio::awaitable<base::result<std::string>> placement_controller::wait_at_agents(placement_need& need) {
+    asio::steady_timer timer{context_};
+    while (true) {
+        auto const now = base::clock::now();
+        if (need.is_cancelled())
+            co_return base::make_error(base::error_kind::cancelled, "the caller left");
+        auto const give_up_at = std::min(need.give_up_at, queue_end_);
+        if (now >= give_up_at)
+            co_return refuse(need, "no_room");
+        auto const chosen = choose_or_queue(need, now);
+        if (chosen && chosen->refused())
+            co_return refuse(need, chosen->placed);
+        if (chosen) {
+            if (co_await reserve_at_agent(need, *chosen, std::min(agent_wait, time_between(now, give_up_at))))
+                co_return chosen->placed.target;
+        }
+        if (auto refused = refuse_without_outlook(need, base::clock::now()))
+            co_return std::move(*refused);
+        if (base::clock::now() - now > immediate_answer)
+            continue;
+        timer.expires_after(reservation_retry_delay);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
 asio::awaitable<base::result<std::string>> placement_controller::place(placement_need need) {
     auto const now = base::clock::now();
+    if (need.request.size && board_.fleet.under_overload_control(need.request.service))
+        co_return co_await place_by_agents(std::move(need));
     std::string const service{need.request.service};
     if (!board_.queue.has_ahead_of(service, need.priority, now)) {
         if (auto const chosen = co_await try_place(need)) {
--- a/Libraries/forwarding_entry/placement_controller.h
+++ b/Libraries/forwarding_entry/placement_controller.h
@@ -74,8 +74,16 @@
     forwarding::placement choose_and_request_permit(placement_need const& need, base::time_point now);
     /// Reserves room with the agent beside the chosen engine, which knows what other entries have placed. Returns
     /// whether the request may be sent.
-    boost::asio::awaitable<bool> reserve_at_agent(placement_need& need, choice chosen);
+    boost::asio::awaitable<bool> reserve_at_agent(placement_need& need, choice chosen, base::milliseconds wait = {});
     boost::asio::awaitable<std::optional<choice>> try_place(placement_need& need);
+    /// Places a request of a service under overload control. Without room it waits at the agent of the engine that is
+    /// expected to have room first, so that the most urgent request of all entries gets the room.
+    boost::asio::awaitable<base::result<std::string>> place_by_agents(placement_need need);
+    boost::asio::awaitable<base::result<std::string>> wait_at_agents(placement_need& need);
+    /// Chooses an engine for the next attempt of place_by_agents. No value if none can be asked now.
+    std::optional<choice> choose_or_queue(placement_need& need, base::time_point now);
+    /// Refuses the request if no engine will have room for it in time. No value if it may wait.
+    std::optional<base::error> refuse_without_outlook(placement_need const& need, base::time_point now);
     boost::asio::awaitable<base::result<std::string>> wait_in_queue(placement_need& need, std::uint64_t number);
     base::error refuse(placement_need const& need, std::string_view reason,
                        base::milliseconds retry_after = default_retry_after) const;
@@ -93,6 +101,8 @@
     std::map<std::string, forwarding::return_schedule, std::less<>> return_schedules_;
     std::map<std::uint64_t, queued_request*> queued_;
     std::uint64_t next_number_{1};
+    /// Requests in place_by_agents.
+    std::size_t waiting_at_agents_{0};
     base::time_point queue_end_{base::time_point::max()};
 };
 
--- a/Libraries/forwarding_entry/reservation_client.cpp
+++ b/Libraries/forwarding_entry/reservation_client.cpp
@@ -40,7 +40,7 @@
     if (!agent)
         co_return reservation_reply::unresponsive;
     auto const request = message.request;
-    asio::steady_timer timer{context_, answer_timeout};
+    asio::steady_timer timer{context_, answer_timeout + base::milliseconds{message.wait_ms}};
     pending_reservation pending{&timer, reservation_reply::unresponsive};
     pending_[request] = &pending;
     agent->send(message);
