Keep copies to other regions off the links of engines that several streams leave

Cause: at a burst two engines without room in their region copied one stream each to another region. The copy took the engine's link for the whole notice of 2.1 s, and seven other streams of these engines were cut.

Change: under overload control, a copy to another region is made only if no other stream runs at the leaving engine. The end of each run is told to the agent with its outcome.

--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -272,7 +272,7 @@
     if (result.outcome == send_outcome::not_sent)
         parts_.placements.withdraw(current->target, request_.caller.id);
     else
-        parts_.placements.release(current->target, request_.caller.id);
+        parts_.placements.release(current->target, request_.caller.id, describe_end(*current, result));
     if (result.may_have_run())
         ++possible_runs_;
     if (result.outcome == send_outcome::not_sent)
@@ -305,6 +305,19 @@
     wake();
 }
 
+run_end stream_exchange::describe_end(stream_run const& ended, send_result const& result) const {
+    if (!parts_.board.fleet.under_overload_control(request_.service))
+        return {};
+    if (ended.received_event)
+        return {run_outcome::served};
+    auto const* view = parts_.board.fleet.find(ended.target);
+    bool const expected =
+        ended.cancelled || caller_left_ || result.held_off || view == nullptr || view->leaving(base::clock::now());
+    bool const answered_with_error = result.outcome == send_outcome::answered && result.server_error();
+    bool const failed = result.outcome == send_outcome::unknown || answered_with_error;
+    return {failed && !expected ? run_outcome::failed : run_outcome::not_known};
+}
+
 asio::awaitable<send_result> stream_exchange::send_and_read(stream_run_pointer current) {
     auto connection = std::exchange(current->prepared_connection, nullptr);
     if (!connection) {
@@ -797,6 +810,10 @@
     auto const* view = parts_.board.fleet.find(source.target);
     if (view == nullptr || !view->report || !view->report->leaves_in)
         return forwarding::copy_span::same_region;
+    // A copy to another region takes the engine's link for most of the time that is left, so it is made only if no
+    // other stream has to leave too.
+    if (parts_.board.fleet.under_overload_control(request_.service) && view->report->running > 1)
+        return forwarding::copy_span::same_region;
     auto const left = *view->report->leaves_in -
                       std::chrono::duration_cast<base::milliseconds>(base::clock::now() - view->reported_at);
     auto const needed = base::milliseconds{tokens_held() / wide_area_tokens_per_millisecond};
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -108,6 +108,8 @@
     boost::asio::awaitable<void> move_to_other_target(self_pointer self);
     /// Returns how far the memory may be copied. Another region is allowed only when the copy can complete before the
     /// engine stops.
+    /// What the agent has to know of the end of a run.
+    run_end describe_end(stream_run const& ended, send_result const& result) const;
     forwarding::copy_span widest_copy(stream_run const& source) const;
     boost::asio::awaitable<bool> try_move(stream_run_pointer source, std::vector<std::string>& refused);
     boost::asio::awaitable<bool> resume_from_copy(stream_run_pointer source, resumable_copy copy, source_state state);
