Mark engines that fail the requests of several entries, at their agent

The agent counts the outcomes that entries send with PlaceEnd, and the first events that it sees in the engine's reports. Outcomes are compared by the time of the grant, since streams that were admitted earlier go on at such an engine. Changes are logged (620, 621) and sent to all entries at once.

Not measured under load yet.

--- a/Libraries/forwarding/reservation_ledger.cpp
+++ b/Libraries/forwarding/reservation_ledger.cpp
@@ -77,7 +77,14 @@
     return found == reservations_.end() ? nullptr : &*found;
 }
 
-void reservation_ledger::observe(engine_report const& report, base::time_point now) {
+std::optional<base::time_point> reservation_ledger::granted_unseen(std::string const& request) const {
+    auto const* held = find(request);
+    return held != nullptr && !held->generating ? std::optional{held->granted_at} : std::nullopt;
+}
+
+std::vector<reservation_ledger::started_request> reservation_ledger::observe(engine_report const& report,
+                                                                             base::time_point now) {
+    std::vector<started_request> started;
     auto const is_generating = [&](reservation const& held) {
         return std::ranges::find(report.generating, held.requested.request, &generating_request::request) !=
                report.generating.end();
@@ -88,6 +95,7 @@
             continue;
         held.generating = true;
         tokens_read += held.requested.unread_tokens;
+        started.push_back({held.requested.entry, held.granted_at});
     }
     if (tokens_read > 0)
         update_reading_pace(tokens_read, now);
@@ -100,6 +108,7 @@
             return age > copy_report_lag;
         return age > maximum_unread_age || (nothing_unread && age > arrival_time);
     });
+    return started;
 }
 
 void reservation_ledger::update_reading_pace(double tokens_read, base::time_point now) {
--- a/Libraries/forwarding/reservation_ledger.h
+++ b/Libraries/forwarding/reservation_ledger.h
@@ -4,6 +4,7 @@
 #include "forwarding/engine_report.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,8 +38,16 @@
     /// Releases the reservations of an entry whose connection was closed. Its requests then count as the reports show
     /// them.
     void remove_entry(std::uint64_t entry);
-    /// Updates the reservations from a new report: prompts of requests that generate events have been read.
-    void observe(engine_report const& report, base::time_point now);
+    /// A reservation whose request has begun to generate events.
+    struct started_request {
+        std::uint64_t entry{0};
+        base::time_point granted_at{};
+    };
+    /// Updates the reservations from a new report: prompts of requests that generate events have been read. Returns
+    /// the requests that generate events for the first time.
+    std::vector<started_request> observe(engine_report const& report, base::time_point now);
+    /// When the reservation of a request was granted that no report has shown as generating. No value for others.
+    std::optional<base::time_point> granted_unseen(std::string const& request) const;
     /// Fills in the fields of a report that depend on the reservations.
     engine_report complete(engine_report report, base::time_point now) const;
     std::size_t size() const { return reservations_.size(); }
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -36,6 +36,10 @@
 // Changes of the wait of a new prompt up to this time are not sent. It is a tenth of the time that one prompt takes.
 constexpr base::milliseconds insignificant_wait{40};
 
+// Values of PlaceEnd.outcome. Others are not known.
+constexpr std::uint8_t served = 1;
+constexpr std::uint8_t failed = 2;
+
 bool equal_state(forwarding::engine_report const& one, forwarding::engine_report const& other) {
     return one.started_at == other.started_at && one.leaving == other.leaving;
 }
@@ -86,9 +90,8 @@
         [this](link::connection& entry, wire::schema::PlaceRequestT const& reservation) {
             answer_reservation(entry, reservation);
         });
-    hub.handle<wire::schema::PlaceEndT>([this](link::connection&, wire::schema::PlaceEndT const& end) {
-        ledger_.end(end.request, base::clock::now());
-    });
+    hub.handle<wire::schema::PlaceEndT>(
+        [this](link::connection& entry, wire::schema::PlaceEndT const& end) { end_reservation(entry, end); });
     hub.handle<wire::schema::LinkTurnDoneT>([this](link::connection&, wire::schema::LinkTurnDoneT const& done) {
         copy_queue_.remove(done.request);
         grant_copy_slots();
@@ -110,6 +113,7 @@
     entries_.erase(entry.number());
     copy_queue_.remove_entry(entry.number());
     ledger_.remove_entry(entry.number());
+    outcomes_.remove_entry(entry.number());
     grant_copy_slots();
 }
 
@@ -146,12 +150,23 @@
 
 void forwarding_agent_role::update_report(forwarding::engine_report const& report) {
     auto const now = base::clock::now();
-    // Reservations of the previous incarnation of the engine do not apply to the new one.
-    if (report_ && report_->started_at != report.started_at)
-        ledger_ = {};
-    report_ = report;
-    ledger_.observe(report, now);
     bool const state_changed = !last_sent_ || !equal_state(*last_sent_, report);
+    bool const restarted = report_ && report_->started_at != report.started_at;
+    report_ = report;
+    // Reservations and outcomes of the previous incarnation of the engine do not apply to the new one.
+    if (restarted) {
+        ledger_ = {};
+        outcomes_ = {};
+        report_failing("restarted");
+    }
+    if (report.leaving) {
+        outcomes_.on_leaving();
+        report_failing("leaving");
+    }
+    for (auto const& started : ledger_.observe(report, now))
+        outcomes_.record({started.entry, false, started.granted_at}, now);
+    outcomes_.advance(now);
+    report_failing();
     bool const load_changed = last_sent_ && now - last_sent_at_ >= load_interval &&
                               !load_as_predicted(*last_sent_, current_report(), now - last_sent_at_);
     if (state_changed || load_changed || now - last_sent_at_ >= heartbeat_interval)
@@ -167,10 +182,15 @@
                                                wire::schema::PlaceRequestT const& reservation) {
     wire::schema::PlaceAnswerT reply;
     reply.request = reservation.request;
-    if (report_)
+    // Requests of services without overload control are granted as if the outcomes were not known.
+    auto const now = base::clock::now();
+    bool const judged = reservation.wait_ms > 0;
+    if (report_ && (!judged || outcomes_.admits(now)))
         reply.granted = ledger_.grant({entry.number(), reservation.request, reservation.unread_tokens,
                                        reservation.memory_tokens, reservation.slots, reservation.accept_crowded},
-                                      *report_, base::clock::now());
+                                      *report_, now);
+    if (judged && reply.granted)
+        outcomes_.on_granted(now);
     // The report is sent before the answer, so that the entry counts the request once.
     if (reply.granted)
         send_to_entries();
@@ -179,8 +199,37 @@
     entry.send(reply);
 }
 
+void forwarding_agent_role::end_reservation(link::connection& entry, wire::schema::PlaceEndT const& end) {
+    auto const now = base::clock::now();
+    auto const granted_at = ledger_.granted_unseen(end.request);
+    ledger_.end(end.request, now);
+    // A request that a report has shown generating was counted then. Streams last for several seconds, so that the
+    // end of one tells late that the engine served it.
+    if (end.outcome == served && granted_at)
+        outcomes_.record({entry.number(), false, *granted_at}, now);
+    else if (end.outcome == failed)
+        outcomes_.record({entry.number(), true, granted_at.value_or(now)}, now);
+    report_failing();
+}
+
+void forwarding_agent_role::report_failing(std::string_view recovery) {
+    if (!report_ || outcomes_.failing() == reported_failing_)
+        return;
+    reported_failing_ = outcomes_.failing();
+    if (reported_failing_)
+        log::write(log::event_kind::target_failing, {{"address", daemon_.settings().target_address},
+                                                     {"failures", outcomes_.failures_in_row()},
+                                                     {"entries", outcomes_.entries_in_row()}});
+    else
+        log::write(log::event_kind::target_recovered, {{"address", daemon_.settings().target_address},
+                                                       {"reason", outcomes_.marked() ? "expired" : recovery}});
+    send_to_entries();
+}
+
 forwarding::engine_report forwarding_agent_role::current_report() const {
-    return ledger_.complete(*report_, base::clock::now());
+    auto report = ledger_.complete(*report_, base::clock::now());
+    report.failing = outcomes_.failing();
+    return report;
 }
 
 void forwarding_agent_role::send_to_entries() {
@@ -249,6 +298,7 @@
         dump["committed_tokens"] = report.committed_tokens;
         dump["unread_tokens"] = report.unread_tokens;
         dump["granted"] = ledger_.size();
+        dump["failing"] = report.failing;
         dump["total_tokens"] = report.total_tokens;
     }
     dump["poison"] = crash_notices_.state();
--- a/Libraries/forwarding_agent/forwarding_agent_role.h
+++ b/Libraries/forwarding_agent/forwarding_agent_role.h
@@ -4,6 +4,7 @@
 #include "forwarding/engine_report.h"
 #include "forwarding/entry_count.h"
 #include "forwarding/reservation_ledger.h"
+#include "forwarding/shared_outcomes.h"
 #include "forwarding_agent/permit_service.h"
 #include "forwarding_agent/stream_origin_service.h"
 #include "http/server.h"
@@ -20,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cyclamenledge::forwarding_agent {
 
@@ -48,6 +50,10 @@
     http::awaitable_result<forwarding::engine_report> read_once();
     void update_report(forwarding::engine_report const& report);
     void answer_reservation(link::connection& entry, wire::schema::PlaceRequestT const& reservation);
+    void end_reservation(link::connection& entry, wire::schema::PlaceEndT const& end);
+    /// Logs a change of the failing state and sends it to the entries. The reason is logged if the state ended before
+    /// its time.
+    void report_failing(std::string_view recovery = "served");
     void send_to_entries();
     /// Returns the newest report together with the reservations granted since.
     forwarding::engine_report current_report() const;
@@ -65,6 +71,9 @@
     base::time_point last_sent_at_{};
     std::uint32_t failures_{0};
     forwarding::reservation_ledger ledger_;
+    forwarding::shared_outcomes outcomes_;
+    /// The failing state that the entries were told.
+    bool reported_failing_{false};
     forwarding::copy_queue copy_queue_;
     std::map<std::uint64_t, link::connection_pointer> entries_;
     forwarding::entry_count entry_count_;
--- a/Libraries/log/event_kind.cpp
+++ b/Libraries/log/event_kind.cpp
@@ -78,6 +78,8 @@
     {target_hold_off, 619, info, "target_hold_off"},
     {request_cut_off, 825, warning, "request_cut_off"},
     {stream_taken_up, 826, info, "stream_taken_up"},
+    {target_failing, 620, warning, "target_failing"},
+    {target_recovered, 621, info, "target_recovered"},
 }};
 
 } // namespace
--- a/Libraries/log/event_kind.h
+++ b/Libraries/log/event_kind.h
@@ -79,8 +79,10 @@
     target_hold_off,
     request_cut_off,
     stream_taken_up,
+    target_failing,
+    target_recovered,
 };
-inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::stream_taken_up) + 1;
+inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::target_recovered) + 1;
 
 /// Number, level and name of one kind of event.
 struct event_definition {
