--- a/Libraries/forwarding/engine_room.cpp
+++ b/Libraries/forwarding/engine_room.cpp
@@ -4,13 +4,6 @@
 
 namespace cyclamenledge::forwarding {
 
-namespace {
-
-// Share of its memory that an engine is filled up to, with the growth that is expected of its requests.
-constexpr double full_share = 1.0;
-
-} // namespace
-
 engine_room::engine_room(engine_report const& report, engine_reservations const& reservations,
                          base::duration report_age)
     : report_(report)
@@ -27,10 +20,11 @@
     return (report_.committed_tokens + reservations_.memory_tokens) / std::max(1U, report_.total_tokens);
 }
 
-bool engine_room::fits_prompt(std::uint32_t memory_tokens, std::uint32_t slots) const {
-    auto const committed = report_.committed_tokens + reservations_.memory_tokens + memory_tokens;
-    return committed <= full_share * report_.total_tokens &&
-           report_.running + report_.queued + reservations_.requests < slots && read_wait() <= longest_read_wait;
+bool engine_room::fits_prompt(std::uint32_t memory_tokens, std::uint32_t slots, prompt_limits const& limits) const {
+    auto const committed = report_.committed_tokens + reservations_.memory_tokens;
+    auto const share = committed > 0 ? limits.memory_share : 1;
+    return committed + memory_tokens <= share * report_.total_tokens &&
+           report_.running + report_.queued + reservations_.requests < slots && read_wait() <= limits.read_wait;
 }
 
 bool engine_room::fits_copy(std::uint32_t tokens, double share, std::uint32_t slots) const {
--- a/Libraries/forwarding/engine_room.h
+++ b/Libraries/forwarding/engine_room.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "forwarding/engine_report.h"
+#include "forwarding/prompt_limits.h"
 
 #include <cstdint>
 
@@ -18,18 +19,16 @@
 /// choose an engine; agents use it to confirm the choice, because they also count the reservations of other entries.
 class engine_room {
 public:
-    /// A prompt that would wait longer than this for the prompts ahead of it stays queued at the entry, because a
-    /// prompt in the queue of an engine that stops cannot be moved. The latency objectives for the first event leave
-    /// about a second of waiting.
-    static constexpr base::milliseconds longest_read_wait{500};
-
     engine_room(engine_report const& report, engine_reservations const& reservations, base::duration report_age);
 
     /// Time until the engine begins the prefill of a new prompt.
     base::milliseconds read_wait() const;
     /// Share of the engine's memory that is in use or reserved.
     double committed_share() const;
-    bool fits_prompt(std::uint32_t memory_tokens, std::uint32_t slots) const;
+    /// Whether a prompt fits within the limits of its class. An engine without requests takes any prompt that fits its
+    /// memory.
+    bool fits_prompt(std::uint32_t memory_tokens, std::uint32_t slots,
+                     prompt_limits const& limits = immediate_prompt_limits) const;
     /// Whether the memory of a running request fits. Unread prompts are ignored, because a copied request is admitted
     /// before them.
     bool fits_copy(std::uint32_t tokens, double share, std::uint32_t slots) const;
--- a/Libraries/forwarding/reservation_ledger.cpp
+++ b/Libraries/forwarding/reservation_ledger.cpp
@@ -30,12 +30,18 @@
 constexpr double pace_weight = 0.3;
 constexpr double minimum_pace = 0.5;
 constexpr double maximum_pace = 14;
+// Reports are 50 ms apart, in which a request grows by a few tokens, so that a single measurement is coarse.
+constexpr double token_time_weight = 0.1;
+// Limits of the time per token: an engine without other requests, and one that has nearly stopped.
+constexpr double minimum_token_time = 2;
+constexpr double maximum_token_time = 400;
 // Copies may fill an engine almost completely, because the copied request would fail otherwise.
 constexpr double copy_share = 0.97;
 
 } // namespace
 
-bool reservation_ledger::grant(reservation_request requested, engine_report const& latest, base::time_point now) {
+bool reservation_ledger::grant(reservation_request requested, engine_report const& latest, base::time_point now,
+                               prompt_limits const& limits) {
     if (latest.leaving)
         return false;
     auto const completed = complete(latest, now);
@@ -45,7 +51,7 @@
         reservations.memory_tokens = reserved_for_copies();
     engine_room const room{completed, reservations, {}};
     bool const fits = copy ? room.fits_copy(requested.memory_tokens, copy_share, requested.slots)
-                           : room.fits_prompt(requested.memory_tokens, requested.slots);
+                           : room.fits_prompt(requested.memory_tokens, requested.slots, limits);
     if (!fits && !requested.accept_overcommit)
         return false;
     if (!copy && first_unread() == nullptr)
@@ -84,6 +90,7 @@
 
 std::vector<reservation_ledger::started_request> reservation_ledger::observe(engine_report const& report,
                                                                              base::time_point now) {
+    update_token_time(report, now);
     std::vector<started_request> started;
     auto const is_generating = [&](reservation const& held) {
         return std::ranges::find(report.generating, held.requested.request, &generating_request::request) !=
@@ -120,6 +127,58 @@
     reading_pace_ += pace_weight * (measured - reading_pace_);
 }
 
+void reservation_ledger::update_token_time(engine_report const& report, base::time_point now) {
+    auto const since = std::chrono::duration<double, std::milli>(now - observed_at_).count();
+    observed_at_ = now;
+    double grown = 0;
+    double request_time = 0;
+    for (auto const& running : report.generating) {
+        auto const held = std::ranges::find(reservations_, running.request,
+                                            [](reservation const& item) { return item.requested.request; });
+        if (held == reservations_.end())
+            continue;
+        if (held->generating && held->tokens > 0 && running.tokens >= held->tokens) {
+            grown += running.tokens - held->tokens;
+            request_time += since;
+        }
+        held->tokens = running.tokens;
+    }
+    if (request_time <= 0)
+        return;
+    auto const measured = std::clamp(request_time / std::max(1.0, grown), minimum_token_time, maximum_token_time);
+    token_time_ += token_time_weight * (measured - token_time_);
+}
+
+double reservation_ledger::tokens_to_come(generating_request const& running) const {
+    auto const* held = find(running.request);
+    if (held == nullptr || held->requested.memory_tokens == 0)
+        return expected_growth;
+    return std::max(static_cast<double>(held->requested.memory_tokens) - running.tokens, minimum_growth);
+}
+
+std::vector<memory_release> reservation_ledger::releases(engine_report const& report) const {
+    std::vector<memory_release> result;
+    auto const add = [&](double start_ms, double to_come, double tokens) {
+        auto const end = start_ms + to_come * token_time_;
+        result.push_back({base::milliseconds{static_cast<std::int64_t>(end)}, tokens});
+    };
+    for (auto const& running : report.generating) {
+        auto const to_come = tokens_to_come(running);
+        add(0, to_come, running.tokens + std::min(to_come, expected_growth));
+    }
+    double unread = 0;
+    for (auto const& held : reservations_) {
+        if (held.generating)
+            continue;
+        unread += held.requested.unread_tokens;
+        auto const prompt =
+            held.requested.unread_tokens > 0 ? held.requested.unread_tokens : held.requested.memory_tokens;
+        auto const output = std::max(0.0, static_cast<double>(held.requested.memory_tokens) - prompt);
+        add(unread / reading_pace_, output, prompt + std::min(output, expected_growth));
+    }
+    return result;
+}
+
 double reservation_ledger::reserved_for_copies() const {
     double sum = 0;
     for (auto const& held : reservations_) {
@@ -152,12 +211,7 @@
     double sum = report.held_tokens;
     double explained = report.held_tokens;
     for (auto const& running : report.generating) {
-        auto const* held = find(running.request);
-        double growth = expected_growth;
-        if (held != nullptr && held->requested.memory_tokens > 0)
-            growth = std::clamp(static_cast<double>(held->requested.memory_tokens) - running.tokens, minimum_growth,
-                                expected_growth);
-        sum += running.tokens + growth;
+        sum += running.tokens + std::min(tokens_to_come(running), expected_growth);
         explained += running.tokens;
     }
     for (auto const& held : reservations_) {
--- a/Libraries/forwarding/reservation_ledger.h
+++ b/Libraries/forwarding/reservation_ledger.h
@@ -2,6 +2,8 @@
 
 #include "base/time.h"
 #include "forwarding/engine_report.h"
+#include "forwarding/expected_room.h"
+#include "forwarding/prompt_limits.h"
 
 #include <cstdint>
 #include <optional>
@@ -30,9 +32,13 @@
 /// choose the engine that looked idle to each of them, and every prompt there would wait for those ahead of it.
 class reservation_ledger {
 public:
+    /// Milliseconds of a step that generates one token of each of twenty requests.
+    static constexpr double default_token_time = 10;
+
     /// Reserves capacity. Returns false if the engine has no room for the request beside the reservations granted
-    /// before.
-    bool grant(reservation_request requested, engine_report const& latest, base::time_point now);
+    /// before. The limits apply to requests with an unread prompt.
+    bool grant(reservation_request requested, engine_report const& latest, base::time_point now,
+               prompt_limits const& limits = immediate_prompt_limits);
     /// Releases the reservation of a request that is no longer at the engine or was never sent to it.
     void end(std::string const& request, base::time_point now);
     /// Releases the reservations of an entry whose connection was closed. Its requests then count as the reports show
@@ -50,6 +56,8 @@
     std::optional<base::time_point> granted_unseen(std::string const& request) const;
     /// Fills in the fields of a report that depend on the reservations.
     engine_report complete(engine_report report, base::time_point now) const;
+    /// Expected ends of the requests in a report and of the reservations.
+    std::vector<memory_release> releases(engine_report const& report) const;
     std::size_t size() const { return reservations_.size(); }
 
 private:
@@ -57,6 +65,8 @@
         reservation_request requested;
         base::time_point granted_at{};
         bool generating{false};
+        /// Memory of a generating request in the last report.
+        std::uint32_t tokens{0};
 
         bool unread() const { return !generating && requested.unread_tokens > 0; }
     };
@@ -68,12 +78,18 @@
     reservation const* find(std::string const& request) const;
     reservation const* first_unread() const;
     void update_reading_pace(double tokens_read, base::time_point now);
+    void update_token_time(engine_report const& report, base::time_point now);
+    /// Memory that a generating request is expected to add before it ends.
+    double tokens_to_come(generating_request const& running) const;
 
     /// In the order of the grants, which is the order in which the engine reads the prompts.
     std::vector<reservation> reservations_;
     double reading_pace_{engine_report::default_reading_pace};
     /// Earliest time at which the engine could begin to read the first unread prompt.
     base::time_point reading_since_{};
+    /// Time in milliseconds in which a running request grows by one token.
+    double token_time_{default_token_time};
+    base::time_point observed_at_{};
 };
 
 } // namespace cyclamenledge::forwarding
