Let requests wait beside the engine, in the order of their urgency

Agents refused 8,989 reservations for about 2,100 streams: requests without room asked again and again, and freed capacity went to whichever asked first. 75 long streams were cut when their engine left a full domain.

Requests with wait_ms now wait at the agent, ordered by whether they can be on time, by priority and by arrival; a request that waits for memory holds back those behind it. Reports state waiting, waiting_tokens and room_in_ms once a request may wait; refusals state room_in_ms. The decisions are in reservation_controller, which has no network. Requests without wait_ms are answered as by the ledger alone.

Not measured under load yet.

--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -68,6 +67,7 @@
 forwarding_agent_role::forwarding_agent_role(process::runtime& daemon, asio::ip::tcp::endpoint target)
     : daemon_(daemon)
     , target_(std::move(target))
+    , expiry_timer_(daemon.context())
     , crash_notices_(daemon, suspects_, &connected_entries)
     , permits_(daemon.hub())
     , stream_origins_(daemon.hub())
@@ -112,8 +112,8 @@
 void forwarding_agent_role::on_disconnected(link::connection& entry, base::error const&) {
     entries_.erase(entry.number());
     copy_queue_.remove_entry(entry.number());
-    ledger_.remove_entry(entry.number());
-    outcomes_.remove_entry(entry.number());
+    if (report_)
+        send_answers(reservations_.remove_entry(entry.number(), *report_, base::clock::now()));
     grant_copy_slots();
 }
 
@@ -150,27 +150,16 @@
 
 void forwarding_agent_role::update_report(forwarding::engine_report const& report) {
     auto const now = base::clock::now();
-    bool const state_changed = !last_sent_ || !equal_state(*last_sent_, report);
     bool const restarted = report_ && report_->started_at != report.started_at;
     report_ = report;
-    // Reservations and outcomes of the previous incarnation of the engine do not apply to the new one.
-    if (restarted) {
-        ledger_ = {};
-        outcomes_ = {};
-        report_failing("restarted");
-    }
-    if (report.leaving) {
-        outcomes_.on_leaving();
-        report_failing("leaving");
-    }
-    for (auto const& started : ledger_.observe(report, now))
-        outcomes_.record({started.entry, false, started.granted_at}, now);
-    outcomes_.advance(now);
-    report_failing();
+    auto const answers = reservations_.observe(report, now);
+    bool const state_changed = !last_sent_ || !equal_state(*last_sent_, report);
+    bool const failing_differs = failing_changed(restarted ? "restarted" : report.leaving ? "leaving" : "served");
     bool const load_changed = last_sent_ && now - last_sent_at_ >= load_interval &&
                               !load_as_predicted(*last_sent_, current_report(), now - last_sent_at_);
-    if (state_changed || load_changed || now - last_sent_at_ >= heartbeat_interval)
+    if (state_changed || failing_differs || load_changed || now - last_sent_at_ >= heartbeat_interval)
         send_to_entries();
+    send_answers(answers);
     if (state_changed && report.leaving)
         log::write(log::event_kind::target_leaving,
                    {{"address", daemon_.settings().target_address},
@@ -178,58 +167,88 @@
                     {"running", report.running}});
 }
 
-void forwarding_agent_role::answer_reservation(link::connection& entry,
-                                               wire::schema::PlaceRequestT const& reservation) {
-    wire::schema::PlaceAnswerT reply;
-    reply.request = reservation.request;
-    // Requests of services without overload control are granted as if the outcomes were not known.
+void forwarding_agent_role::answer_reservation(link::connection& entry, wire::schema::PlaceRequestT const& message) {
+    forwarding::reservation_request requested{entry.number(),        message.request, message.unread_tokens,
+                                              message.memory_tokens, message.slots,   message.accept_crowded};
+    if (!report_) {
+        send_answers({{entry.number(), message.request, false, std::nullopt}});
+        return;
+    }
     auto const now = base::clock::now();
-    bool const judged = reservation.wait_ms > 0;
-    if (report_ && (!judged || outcomes_.admits(now)))
-        reply.granted = ledger_.grant({entry.number(), reservation.request, reservation.unread_tokens,
-                                       reservation.memory_tokens, reservation.slots, reservation.accept_crowded},
-                                      *report_, now);
-    if (judged && reply.granted)
-        outcomes_.on_granted(now);
-    // The report is sent before the answer, so that the entry counts the request once.
-    if (reply.granted)
-        send_to_entries();
-    else if (report_)
-        entry.send(encode_report(current_report()));
-    entry.send(reply);
+    // Copies of running requests never wait: they would be lost with the leaving engine.
+    if (message.wait_ms == 0 || message.unread_tokens == 0) {
+        bool const granted = reservations_.grant_immediately(std::move(requested), *report_, now);
+        send_answers({{entry.number(), message.request, granted, std::nullopt}});
+        return;
+    }
+    send_answers(
+        reservations_.request({std::move(requested), message.priority, now - base::milliseconds{message.waited_ms},
+                               now + base::milliseconds{message.on_time_ms}, now + base::milliseconds{message.wait_ms}},
+                              *report_, now));
 }
 
 void forwarding_agent_role::end_reservation(link::connection& entry, wire::schema::PlaceEndT const& end) {
-    auto const now = base::clock::now();
-    auto const granted_at = ledger_.granted_unseen(end.request);
-    ledger_.end(end.request, now);
-    // A request that a report has shown generating was counted then. Streams last for several seconds, so that the
-    // end of one tells late that the engine served it.
-    if (end.outcome == served && granted_at)
-        outcomes_.record({entry.number(), false, *granted_at}, now);
-    else if (end.outcome == failed)
-        outcomes_.record({entry.number(), true, granted_at.value_or(now)}, now);
-    report_failing();
+    if (!report_)
+        return;
+    auto const outcome =
+        end.outcome == served || end.outcome == failed ? std::optional{end.outcome == failed} : std::nullopt;
+    auto const answers = reservations_.end(entry.number(), end.request, outcome, *report_, base::clock::now());
+    if (failing_changed("served"))
+        send_to_entries();
+    send_answers(answers);
 }
 
-void forwarding_agent_role::report_failing(std::string_view recovery) {
-    if (!report_ || outcomes_.failing() == reported_failing_)
-        return;
-    reported_failing_ = outcomes_.failing();
-    if (reported_failing_)
+bool forwarding_agent_role::failing_changed(std::string_view recovery) {
+    auto const& outcomes = reservations_.outcomes();
+    if (outcomes.failing() == failing_)
+        return false;
+    failing_ = outcomes.failing();
+    if (failing_)
         log::write(log::event_kind::target_failing, {{"address", daemon_.settings().target_address},
-                                                     {"failures", outcomes_.failures_in_row()},
-                                                     {"entries", outcomes_.entries_in_row()}});
+                                                     {"failures", outcomes.failures_in_row()},
+                                                     {"entries", outcomes.entries_in_row()}});
     else
         log::write(log::event_kind::target_recovered, {{"address", daemon_.settings().target_address},
-                                                       {"reason", outcomes_.marked() ? "expired" : recovery}});
-    send_to_entries();
+                                                       {"reason", outcomes.marked() ? "expired" : recovery}});
+    return true;
+}
+
+void forwarding_agent_role::send_answers(forwarding::reservation_controller::answers const& answers) {
+    // A report is sent before the answers, so that the entries count a granted request once. A refusal concerns its
+    // entry only.
+    bool const granted = std::ranges::any_of(answers, &forwarding::reservation_answer::granted);
+    if (granted)
+        send_to_entries();
+    for (auto const& answer : answers) {
+        auto const entry = entries_.find(answer.entry);
+        if (entry == entries_.end())
+            continue;
+        if (!granted && report_)
+            entry->second->send(encode_report(current_report()));
+        wire::schema::PlaceAnswerT reply;
+        reply.request = answer.request;
+        reply.granted = answer.granted;
+        reply.room_in_ms = answer.room_in ? static_cast<std::uint32_t>(answer.room_in->count()) + 1 : 0;
+        entry->second->send(reply);
+    }
+    schedule_expiry();
+}
+
+void forwarding_agent_role::schedule_expiry() {
+    auto const next = reservations_.next_expiry();
+    if (!next) {
+        expiry_timer_.cancel();
+        return;
+    }
+    expiry_timer_.expires_at(*next);
+    expiry_timer_.async_wait([this](boost::system::error_code const& cancelled) {
+        if (!cancelled)
+            send_answers(reservations_.advance(*report_, base::clock::now()));
+    });
 }
 
 forwarding::engine_report forwarding_agent_role::current_report() const {
-    auto report = ledger_.complete(*report_, base::clock::now());
-    report.failing = outcomes_.failing();
-    return report;
+    return reservations_.complete(*report_, base::clock::now());
 }
 
 void forwarding_agent_role::send_to_entries() {
@@ -297,7 +316,8 @@
         dump["used_tokens"] = report.used_tokens;
         dump["committed_tokens"] = report.committed_tokens;
         dump["unread_tokens"] = report.unread_tokens;
-        dump["granted"] = ledger_.size();
+        dump["granted"] = reservations_.granted();
+        dump["waiting"] = report.waiting;
         dump["failing"] = report.failing;
         dump["total_tokens"] = report.total_tokens;
     }
--- a/Libraries/forwarding_agent/forwarding_agent_role.h
+++ b/Libraries/forwarding_agent/forwarding_agent_role.h
@@ -3,8 +3,7 @@
 #include "forwarding/copy_queue.h"
 #include "forwarding/engine_report.h"
 #include "forwarding/entry_count.h"
-#include "forwarding/reservation_ledger.h"
-#include "forwarding/shared_outcomes.h"
+#include "forwarding/reservation_controller.h"
 #include "forwarding_agent/permit_service.h"
 #include "forwarding_agent/stream_origin_service.h"
 #include "http/server.h"
@@ -16,6 +15,7 @@
 #include "process/runtime.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <map>
 #include <memory>
@@ -51,9 +51,12 @@
     void update_report(forwarding::engine_report const& report);
     void answer_reservation(link::connection& entry, wire::schema::PlaceRequestT const& reservation);
     void end_reservation(link::connection& entry, wire::schema::PlaceEndT const& end);
-    /// Logs a change of the failing state and sends it to the entries. The reason is logged if the state ended before
-    /// its time.
-    void report_failing(std::string_view recovery = "served");
+    /// Logs a change of the failing state and returns whether the entries have to be told. The reason is logged if the
+    /// state has ended before its time.
+    bool failing_changed(std::string_view recovery);
+    /// Sends answers to waiting requests, each after a report that includes it.
+    void send_answers(forwarding::reservation_controller::answers const& answers);
+    void schedule_expiry();
     void send_to_entries();
     /// Returns the newest report together with the reservations granted since.
     forwarding::engine_report current_report() const;
@@ -70,10 +73,10 @@
     std::optional<forwarding::engine_report> last_sent_;
     base::time_point last_sent_at_{};
     std::uint32_t failures_{0};
-    forwarding::reservation_ledger ledger_;
-    forwarding::shared_outcomes outcomes_;
-    /// The failing state that the entries were told.
-    bool reported_failing_{false};
+    forwarding::reservation_controller reservations_;
+    boost::asio::steady_timer expiry_timer_;
+    /// The failing state that was last logged.
+    bool failing_{false};
     forwarding::copy_queue copy_queue_;
     std::map<std::uint64_t, link::connection_pointer> entries_;
     forwarding::entry_count entry_count_;
