Judge room at entries by the limits of the request's class

Cause: agents keep prompts of a service under overload control within the limits of their class, but entries still chose engines by the limits without overload control, so that requests waited at engines that could not take them beside others that could.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -255,13 +255,15 @@
     return {*target.report, reservations, now - target.reported_at};
 }
 
-bool fleet_view::has_room(target_view const& target, generation_size const& size, base::time_point now) const {
+bool fleet_view::has_room(target_view const& target, placement_request const& request, base::time_point now) const {
     auto const* engine = capacity(target);
     if (engine == nullptr)
         return true;
     if (!reported(target, now))
         return has_unreported_room(target, *engine, now);
-    return room(target, now).fits_prompt(size.expected_memory(), engine->slots);
+    auto const& limits =
+        under_overload_control(request.service) ? limits_of(request.priority) : immediate_prompt_limits;
+    return room(target, now).fits_prompt(request.size->expected_memory(), engine->slots, limits);
 }
 
 bool fleet_view::has_unreported_room(target_view const& target, engine_capacity const& engine,
@@ -453,7 +455,7 @@
         }
         double const score = load(target, request.size, now) + distance(target) + target.health.failure_share() +
                              score_jitter * random_.unit();
-        bool const room = !request.size || has_room(target, *request.size, now);
+        bool const room = !request.size || has_room(target, request, now);
         if (!permits_request(target, now)) {
             any_cold = any_cold || !target.limit.per_second();
             if (target.limit.per_second() && (room || request.accept_overcommit) && !ejected(target, now))
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -268,7 +268,7 @@
     };
     void add_held(held_targets& found, target_view const& target, base::time_point now) const;
     bool eligible(target_view const& target, placement_request const& request, base::time_point now) const;
-    bool has_room(target_view const& target, generation_size const& size, base::time_point now) const;
+    bool has_room(target_view const& target, placement_request const& request, base::time_point now) const;
     /// Whether an engine without a current report may get another request of this entry.
     bool has_unreported_room(target_view const& target, engine_capacity const& engine, base::time_point now) const;
     bool has_room_for_copy(target_view const& target, copy_request const& copy, base::time_point now) const;
