Count only failures of later requests as a continuation of the failing state

An engine with 24 slots that begins to fail has several requests on their way, which would double the time of the state at once and mark the engine again after it. Only requests that are granted during the state prolong it.

First events of copies no longer count as a success, because a copy is not read by the engine. A report that comes with a grant is sent once instead of twice. test_forwarding: 91 passed.

--- a/Libraries/forwarding/reservation_ledger.cpp
+++ b/Libraries/forwarding/reservation_ledger.cpp
@@ -102,7 +102,8 @@
             continue;
         held.generating = true;
         tokens_read += held.requested.unread_tokens;
-        started.push_back({held.requested.entry, held.granted_at});
+        if (held.requested.unread_tokens > 0)
+            started.push_back({held.requested.entry, held.granted_at});
     }
     if (tokens_read > 0)
         update_reading_pace(tokens_read, now);
--- a/Libraries/forwarding/reservation_ledger.h
+++ b/Libraries/forwarding/reservation_ledger.h
@@ -44,13 +44,13 @@
     /// Releases the reservations of an entry whose connection was closed. Its requests then count as the reports show
     /// them.
     void remove_entry(std::uint64_t entry);
-    /// A reservation whose request has begun to generate events.
+    /// A reservation whose prompt has been read, so that its request generates events.
     struct started_request {
         std::uint64_t entry{0};
         base::time_point granted_at{};
     };
     /// Updates the reservations from a new report: prompts of requests that generate events have been read. Returns
-    /// the requests that generate events for the first time.
+    /// those that generate events for the first time, except copies of running requests.
     std::vector<started_request> observe(engine_report const& report, base::time_point now);
     /// When the reservation of a request was granted that no report has shown as generating. No value for others.
     std::optional<base::time_point> granted_unseen(std::string const& request) const;
--- a/Libraries/forwarding/shared_outcomes.cpp
+++ b/Libraries/forwarding/shared_outcomes.cpp
@@ -41,13 +41,15 @@
         if (row_.size() > maximum_row)
             row_.pop_front();
     }
+    // Requests that were on their way when the engine was marked say nothing about later ones.
+    bool const continues = marked() && outcome.granted_at >= period_began_;
     if (failing()) {
-        failed_in_period_ = true;
+        failed_in_period_ = failed_in_period_ || continues;
         return;
     }
-    // After a period has passed without a success, the next failure marks the engine again.
     bool const row_complete = row_.size() >= failures_to_mark && entries_in_row() >= entries_to_mark;
-    if (marked() || row_complete || share_exceeded())
+    // After a period has passed without a success, the next failure marks the engine again.
+    if (marked() ? continues : row_complete || share_exceeded())
         begin_period(now);
 }
 
@@ -75,6 +77,7 @@
     if (!failing())
         last_probe_ = now;
     period_ = marked() ? std::min(2 * period_, longest_period) : first_period;
+    period_began_ = now;
     failing_until_ = now + period_;
     failed_in_period_ = false;
 }
--- a/Libraries/forwarding/shared_outcomes.h
+++ b/Libraries/forwarding/shared_outcomes.h
@@ -77,6 +77,7 @@
     std::optional<base::time_point> failing_until_;
     /// Length of the present period, or of the last one if no request has succeeded since. Zero before the first.
     base::milliseconds period_{};
+    base::time_point period_began_{};
     bool failed_in_period_{false};
     base::time_point last_probe_{};
 };
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -53,6 +53,10 @@
            memory <= insignificant_memory_share * sent.total_tokens && std::chrono::abs(wait) <= insignificant_wait;
 }
 
+bool any_granted(forwarding::reservation_controller::answers const& answers) {
+    return std::ranges::any_of(answers, &forwarding::reservation_answer::granted);
+}
+
 std::vector<link::connection_pointer> connected_entries(link::hub const& hub, poison_control::outgoing_notice const&) {
     return hub.ready_connections();
 }
@@ -157,7 +161,9 @@
     bool const failing_differs = failing_changed(restarted ? "restarted" : report.leaving ? "leaving" : "served");
     bool const load_changed = last_sent_ && now - last_sent_at_ >= load_interval &&
                               !load_as_predicted(*last_sent_, current_report(), now - last_sent_at_);
-    if (state_changed || failing_differs || load_changed || now - last_sent_at_ >= heartbeat_interval)
+    // Grants come with a report of their own.
+    if (!any_granted(answers) &&
+        (state_changed || failing_differs || load_changed || now - last_sent_at_ >= heartbeat_interval))
         send_to_entries();
     send_answers(answers);
     if (state_changed && report.leaving)
@@ -193,7 +199,7 @@
     auto const outcome =
         end.outcome == served || end.outcome == failed ? std::optional{end.outcome == failed} : std::nullopt;
     auto const answers = reservations_.end(entry.number(), end.request, outcome, *report_, base::clock::now());
-    if (failing_changed("served"))
+    if (failing_changed("served") && !any_granted(answers))
         send_to_entries();
     send_answers(answers);
 }
@@ -216,7 +222,7 @@
 void forwarding_agent_role::send_answers(forwarding::reservation_controller::answers const& answers) {
     // A report is sent before the answers, so that the entries count a granted request once. A refusal concerns its
     // entry only.
-    bool const granted = std::ranges::any_of(answers, &forwarding::reservation_answer::granted);
+    bool const granted = any_granted(answers);
     if (granted)
         send_to_entries();
     for (auto const& answer : answers) {
--- a/Tests/forwarding/reservation_controller_test.cpp
+++ b/Tests/forwarding/reservation_controller_test.cpp
@@ -331,9 +331,13 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"-a"}, ask(controller, {.name = "a"}, filled_engine(0.99), start + 500ms));
         CPPUNIT_ASSERT_EQUAL(std::string{"+b"}, ask(controller, {.name = "b"}, idle, start + 510ms));
         CPPUNIT_ASSERT_EQUAL(std::string{"-c"}, ask(controller, {.name = "c"}, idle, start + 520ms));
-        // The probe's first event ends the state.
+        // A stream that goes on from a copy says nothing about new prompts. The probe's first event ends the state.
         auto served = idle;
         served.running = 1;
+        CPPUNIT_ASSERT(controller.grant_immediately({1, "copy", 0, 1000, engine_slots, false}, idle, start + 600ms));
+        served.generating = {{"copy", 900}};
+        controller.observe(served, start + 650ms);
+        CPPUNIT_ASSERT(controller.outcomes().failing());
         served.generating = {{"b", 150}};
         controller.observe(served, start + 700ms);
         CPPUNIT_ASSERT(!controller.outcomes().failing());
--- a/Tests/forwarding/shared_outcomes_test.cpp
+++ b/Tests/forwarding/shared_outcomes_test.cpp
@@ -141,6 +141,12 @@
         CPPUNIT_ASSERT_EQUAL(1, granted);
         // The failure of the probe prolongs the state.
         CPPUNIT_ASSERT(failing_at(outcomes, 1500ms));
+        // Requests that were on their way when the engine was marked do not.
+        auto once = failing_engine();
+        record(once, {300, 8, true}, 400ms);
+        CPPUNIT_ASSERT(!failing_at(once, 1000ms));
+        record(once, {1100, 9, true}, 1200ms);
+        CPPUNIT_ASSERT(!once.failing());
         CPPUNIT_ASSERT(!shared_outcomes{}.failing() && shared_outcomes{}.admits(outcomes_start));
     }
 
