Warn in cyclamenctl check, and add cyclamenctl diff

Errors, the line of a valid file and the exit status of invalid and unreadable files stay as they were.

--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -48,6 +48,8 @@
 
 echo "== Checking settings and catalogues"
 "$control" check examples/vatuloa/*.yaml examples/fjordvinge/*.yaml || fail "the examples are invalid"
+"$control" diff examples/vatuloa/catalogue.yaml --against examples/vatuloa/catalogue.yaml ||
+    fail "a catalogue differs from itself"
 
 entry_callers=127.1.1.100:21111
 entry_operators=127.1.1.100:21121
--- a/Utilities/cyclamenctl/check_command.h
+++ b/Utilities/cyclamenctl/check_command.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "output_format.h"
 #include "subcommand.h"
 
 #include <string>
@@ -7,7 +8,7 @@
 
 namespace cyclamenledge::control {
 
-/// Validates settings and catalogues with the rules that the daemons apply.
+/// Validates settings and catalogues with the rules that the daemons apply, and reviews valid catalogues.
 class check_command : public subcommand {
 public:
     std::string name() const override { return "check"; }
@@ -17,6 +18,7 @@
 
 private:
     std::vector<std::string> files_;
+    output_format format_{output_format::text};
 };
 
 } // namespace cyclamenledge::control
--- a/Utilities/cyclamenctl/main.cpp
+++ b/Utilities/cyclamenctl/main.cpp
@@ -35,9 +35,8 @@
 int main(int argument_count, char** arguments) {
     CLI::App app{"Control program of cyclamenledge"};
     app.require_subcommand(1);
-    app.footer(
-        "Exit status: 0 success, 1 invalid document, 2 wrong usage or unreadable file, 3 the process refused the "
-        "request, 4 no process answered, 5 the answer ended before it was complete.");
+    app.footer("Exit status: 0 success, 1 invalid document, warnings or differences, 2 wrong usage or unreadable file, "
+               "3 the process refused the request, 4 no process answered, 5 the answer ended before it was complete.");
     app.fallthrough();
     try {
         return to_int(run(app, argument_count, arguments));
--- a/Utilities/cyclamenctl/subcommands.cpp
+++ b/Utilities/cyclamenctl/subcommands.cpp
@@ -1,5 +1,6 @@
 #include "call_command.h"
 #include "check_command.h"
+#include "diff_command.h"
 #include "explain_command.h"
 #include "state_command.h"
 #include "subcommand.h"
@@ -17,7 +18,7 @@
     return std::make_unique<Command>();
 }
 
-constexpr std::array table{&make<check_command>, &make<state_command>, &make<explain_command>,
+constexpr std::array table{&make<check_command>, &make<diff_command>,  &make<state_command>,  &make<explain_command>,
                            &make<call_command>,  &make<trace_command>, &make<version_command>};
 
 } // namespace
