Review settings in cyclamenctl check too

Settings can be valid and still cut callers, as when drain_accept lasts until the process ends, or have no effect, as keys of a forwarding entry in the file of an agent. The findings move to yaml_reader, beside diagnostics, so that the reviews of catalogues and settings share them.

--- a/Libraries/catalogue/catalogue_review.cpp
+++ b/Libraries/catalogue/catalogue_review.cpp
@@ -1,6 +1,5 @@
 #include "catalogue/catalogue_review.h"
 
-#include "yaml_reader/path.h"
 #include "yaml_reader/range.h"
 #include "yaml_reader/values.h"
 
@@ -9,7 +8,6 @@
 #include <map>
 #include <set>
 #include <string_view>
-#include <tuple>
 #include <utility>
 
 namespace cyclamenledge::catalogue {
@@ -19,7 +17,7 @@
 using yaml_reader::path;
 using yaml_reader::quote;
 using yaml_reader::value_text;
-using enum finding_kind;
+using enum yaml_reader::finding_kind;
 
 /// Names listed in one message before the rest is only counted.
 constexpr std::size_t listed_names = 4;
@@ -56,13 +54,13 @@
         count_users();
     }
 
-    std::vector<finding> run() && {
+    std::vector<yaml_reader::finding> run() && {
         review_section(subject_.failure_domains(), "failure_domains", &reviewer::review_failure_domain);
         review_section(subject_.services(), "services", &reviewer::review_service);
         review_section(subject_.targets(), "targets", &reviewer::review_target);
         review_section(subject_.service_classes(), "service_classes", &reviewer::review_class);
         review_section(subject_.organisations(), "organisations", &reviewer::review_organisation);
-        return std::move(findings_);
+        return findings_.take();
     }
 
 private:
@@ -94,11 +92,6 @@
     void review_branches(organisation const& head, path const& at);
     void review_stretch(organisation const& branch, path const& at);
 
-    void add(finding_kind kind, path const& at, std::string found, std::string advice) {
-        if (findings_.size() < maximum_findings)
-            findings_.push_back({kind, {}, at.text(), std::move(found), std::move(advice)});
-    }
-
     catalogue const& subject_;
     std::set<std::string_view> used_domains_;
     std::set<std::string_view> used_classes_;
@@ -107,7 +100,7 @@
     std::map<std::string_view, service_users> services_;
     /// Sums of the limits of each head office's branches, in the order of limit_rules.
     std::map<std::string_view, std::array<double, limit_rules.size()>> branch_sums_;
-    std::vector<finding> findings_;
+    yaml_reader::findings findings_;
 };
 
 void reviewer::count_users() {
@@ -139,18 +132,19 @@
 
 void reviewer::review_failure_domain(failure_domain const& item, path const& at) {
     if (!used_domains_.contains(item.name))
-        add(unused, at, "no target or entry in failure domain " + quote(item.name), "place some there, or remove it");
+        findings_.add(unused, at, "no target or entry in failure domain " + quote(item.name),
+                      "place some there, or remove it");
 }
 
 void reviewer::review_service(service const& item, path const& at) {
     auto const& users = services_[item.name];
     if (users.organisations.empty())
-        add(unused, at, "no organisation that may call service " + quote(item.name),
-            "list it in the services of an organisation, or remove it with its targets");
+        findings_.add(unused, at, "no organisation that may call service " + quote(item.name),
+                      "list it in the services of an organisation, or remove it with its targets");
     if (users.targets_in_service == 0) {
         auto const affected = users.organisations.empty() ? "" : "; it refuses " + list_names(users.organisations);
-        add(never_serves, at, "no target of service " + quote(item.name) + " in service" + affected,
-            "return a target and its failure domain to service");
+        findings_.add(never_serves, at, "no target of service " + quote(item.name) + " in service" + affected,
+                      "return a target and its failure domain to service");
         return;
     }
     if (item.kind == service_kind::generation)
@@ -165,19 +159,20 @@
     auto const warm = item.placement.minimum_warm;
     // Agents keep at least one target warm, so that a service never starts from nothing.
     if (warm == 0)
-        add(no_effect, key, "0, which acts as 1", "state 1 or more");
+        findings_.add(no_effect, key, "0, which acts as 1", "state 1 or more");
     if (warm > users.targets_in_service)
-        add(contradiction, key,
-            value_text(warm) + " with only " + value_text(users.targets_in_service) + " targets in service",
-            "at most the number of targets in service");
+        findings_.add(contradiction, key,
+                      value_text(warm) + " with only " + value_text(users.targets_in_service) + " targets in service",
+                      "at most the number of targets in service");
 }
 
 void reviewer::review_call_owners(service const& item, path const& at) {
     // A call that no rule matches is non-idempotent, and such calls run at the owner of their key only.
     if (item.key_owners.empty()) {
         if (item.call_rules.empty())
-            add(never_serves, at, "neither call rules nor key owners, so every call needs an owner and none has one",
-                "add key owners, or rules for the idempotent calls");
+            findings_.add(never_serves, at,
+                          "neither call rules nor key owners, so every call needs an owner and none has one",
+                          "add key owners, or rules for the idempotent calls");
         return;
     }
     path const list{&at, "key_owners"};
@@ -186,32 +181,34 @@
     auto const& owners = item.key_owners.back().targets;
     for (std::size_t index = 0; index < owners.size(); ++index) {
         if (!subject_.in_service(*subject_.find_target(owners[index])))
-            add(never_serves, path{&targets, index},
-                "key owner " + quote(owners[index]) + " out of service, so the calls of its keys are refused",
-                "append a set without it, or return it to service");
+            findings_.add(never_serves, path{&targets, index},
+                          "key owner " + quote(owners[index]) + " out of service, so the calls of its keys are refused",
+                          "append a set without it, or return it to service");
     }
 }
 
 void reviewer::review_target(target const& item, path const& at) {
     auto const& owner = *subject_.find_service(item.service);
     if (owner.kind == service_kind::generation && item.memory_tokens < owner.default_output_tokens)
-        add(contradiction, path{&at, "memory_tokens"},
-            value_text(item.memory_tokens) + ", less than one output of service " + quote(owner.name) +
-                " is assumed to have",
-            "at least its default_output_tokens of " + value_text(owner.default_output_tokens) + " and a prompt");
+        findings_.add(contradiction, path{&at, "memory_tokens"},
+                      value_text(item.memory_tokens) + ", less than one output of service " + quote(owner.name) +
+                          " is assumed to have",
+                      "at least its default_output_tokens of " + value_text(owner.default_output_tokens) +
+                          " and a prompt");
 }
 
 void reviewer::review_class(service_class const& item, path const& at) {
     if (!used_classes_.contains(item.name))
-        add(unused, at, "no organisation in service class " + quote(item.name),
-            "name it in an organisation, or remove it");
+        findings_.add(unused, at, "no organisation in service class " + quote(item.name),
+                      "name it in an organisation, or remove it");
     if (item.queue_limit == 0)
-        add(no_effect, path{&at, "queue_limit"},
-            "0, so a full target refuses requests of the class at once and queue_deadline has no effect", "1 or more");
+        findings_.add(no_effect, path{&at, "queue_limit"},
+                      "0, so a full target refuses requests of the class at once and queue_deadline has no effect",
+                      "1 or more");
     else if (item.queue_deadline < item.first_token_target)
-        add(contradiction, path{&at, "queue_deadline"},
-            value_text(item.queue_deadline) + ", which ends before the first token is due",
-            "at least the first_token_target of " + value_text(item.first_token_target));
+        findings_.add(contradiction, path{&at, "queue_deadline"},
+                      value_text(item.queue_deadline) + ", which ends before the first token is due",
+                      "at least the first_token_target of " + value_text(item.first_token_target));
 }
 
 void reviewer::review_organisation(organisation const& item, path const& at) {
@@ -234,10 +231,11 @@
         std::vector<std::string_view> missing;
         std::ranges::set_difference(entry_regions_, serving, std::back_inserter(missing));
         if (!missing.empty())
-            add(never_serves, path{&list, index},
-                "no target of service " + quote(item.services[index]) + " in service in " + list_names(missing) +
-                    ", and class " + quote(item.service_class) + " never crosses regions",
-                "a target in each region with entries, or a class that may cross");
+            findings_.add(never_serves, path{&list, index},
+                          "no target of service " + quote(item.services[index]) + " in service in " +
+                              list_names(missing) + ", and class " + quote(item.service_class) +
+                              " never crosses regions",
+                          "a target in each region with entries, or a class that may cross");
     }
 }
 
@@ -251,10 +249,10 @@
         auto const total = rule.value(head.limits);
         auto const sum = found->second[index];
         if (total > 0 && sum > total)
-            add(contradiction, path{&limits, rule.key},
-                value_text(total) + ", while the limits of the branches of " + quote(head.name) + " add up to " +
-                    value_text(sum),
-                "at least the sum, since the branches cannot all have their limits at once");
+            findings_.add(contradiction, path{&limits, rule.key},
+                          value_text(total) + ", while the limits of the branches of " + quote(head.name) +
+                              " add up to " + value_text(sum),
+                          "at least the sum, since the branches cannot all have their limits at once");
     }
 }
 
@@ -270,35 +268,23 @@
             continue;
         usable = true;
         if (total > 0 && own * (1 + branch.stretch) > total) {
-            add(contradiction, key,
-                value_text(branch.stretch) + ", which takes " + std::string{rule.key} + " to " +
-                    value_text(own * (1 + branch.stretch)),
-                "at most the " + value_text(total) + " of head office " + quote(head.name));
+            findings_.add(contradiction, key,
+                          value_text(branch.stretch) + ", which takes " + std::string{rule.key} + " to " +
+                              value_text(own * (1 + branch.stretch)),
+                          "at most the " + value_text(total) + " of head office " + quote(head.name));
             return;
         }
     }
     if (!usable)
-        add(no_effect, key,
-            value_text(branch.stretch) + " without a limit below that of head office " + quote(head.name),
-            "a lower limit, or no stretch");
+        findings_.add(no_effect, key,
+                      value_text(branch.stretch) + " without a limit below that of head office " + quote(head.name),
+                      "a lower limit, or no stretch");
 }
 
 } // namespace
 
-std::vector<finding> review(catalogue const& subject) {
+std::vector<yaml_reader::finding> review(catalogue const& subject) {
     return reviewer{subject}.run();
 }
 
-void locate(std::vector<finding>& findings, yaml_reader::node const& root) {
-    for (auto& item : findings)
-        item.at = root.resolve(item.path).at;
-    std::ranges::stable_sort(findings, {},
-                             [](finding const& item) { return std::tuple(item.at.line, item.at.column); });
-}
-
-std::string to_text(finding const& item, std::string const& file) {
-    return file + ":" + std::to_string(item.at.line) + ":" + std::to_string(item.at.column) + ": " + item.path +
-           ": warning: found " + item.found + "; advice: " + item.advice;
-}
-
 } // namespace cyclamenledge::catalogue
--- a/Tests/catalogue/catalogue_review_test.cpp
+++ b/Tests/catalogue/catalogue_review_test.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-using catalogue::finding_kind;
+using yaml_reader::finding_kind;
 
 /// Replaces the first occurrence of a text.
 struct edit {
@@ -31,16 +31,16 @@
     return text;
 }
 
-std::vector<catalogue::finding> review_text(std::string const& text) {
+std::vector<yaml_reader::finding> review_text(std::string const& text) {
     auto const read = catalogue::check_catalogue(text, "test.yaml");
     CPPUNIT_ASSERT_MESSAGE(read.errors.empty() ? "" : to_text(read.errors.front()), read.value.has_value());
     auto findings = catalogue::review(**read.value);
     yaml_reader::diagnostics errors{"test.yaml"};
-    catalogue::locate(findings, *yaml_reader::parse_document(text, errors));
+    yaml_reader::locate(findings, *yaml_reader::parse_document(text, errors));
     return findings;
 }
 
-std::string list(std::vector<catalogue::finding> const& findings) {
+std::string list(std::vector<yaml_reader::finding> const& findings) {
     std::string text;
     for (auto const& each : findings)
         text += to_text(each, "test.yaml") + "\n";
@@ -220,11 +220,11 @@
     /// Guards against a review whose memory and output grow with a catalogue that is wrong everywhere.
     void bounds_the_findings() {
         std::string domains;
-        for (std::size_t index = 0; index <= catalogue::maximum_findings; ++index)
+        for (std::size_t index = 0; index <= yaml_reader::maximum_findings; ++index)
             domains += "  - {name: d-" + std::to_string(index) + ", region: East}\n";
         domains += "services:\n";
         auto const found = review_text(edited({{"services:\n", domains}}));
-        CPPUNIT_ASSERT_EQUAL(catalogue::maximum_findings, found.size());
+        CPPUNIT_ASSERT_EQUAL(yaml_reader::maximum_findings, found.size());
     }
 };
 
--- a/Utilities/cyclamenctl/check_command.cpp
+++ b/Utilities/cyclamenctl/check_command.cpp
@@ -3,6 +3,7 @@
 #include "catalogue/catalogue_reader.h"
 #include "catalogue/catalogue_review.h"
 #include "settings/settings_reader.h"
+#include "settings/settings_review.h"
 #include "yaml_reader/document.h"
 #include "yaml_reader/file.h"
 
@@ -30,7 +31,7 @@
     /// Why the file could not be read; empty if it was.
     std::string failure;
     std::vector<yaml_reader::diagnostic> errors;
-    std::vector<catalogue::finding> warnings;
+    std::vector<yaml_reader::finding> warnings;
     exit_status status{exit_status::ok};
 };
 
@@ -38,20 +39,27 @@
     std::string_view name;
     /// Keys that only documents of this kind have.
     std::array<std::string_view, 2> keys;
-    void (*check)(std::string const& text, yaml_reader::node const& root, file_report& report);
+    void (*check)(std::string const& text, file_report& report);
 };
 
-void check_catalogue(std::string const& text, yaml_reader::node const& root, file_report& report) {
-    auto read = catalogue::check_catalogue(text, report.file);
+template <class Value>
+void accept(yaml_reader::reading<Value> read, std::vector<yaml_reader::finding> (*review)(Value const&),
+            file_report& report) {
     report.errors = std::move(read.errors);
-    if (!read.value)
-        return;
-    report.warnings = catalogue::review(**read.value);
-    catalogue::locate(report.warnings, root);
+    if (read.value)
+        report.warnings = review(*read.value);
+}
+
+std::vector<yaml_reader::finding> review_catalogue(catalogue::catalogue_pointer const& subject) {
+    return catalogue::review(*subject);
+}
+
+void check_catalogue(std::string const& text, file_report& report) {
+    accept(catalogue::check_catalogue(text, report.file), &review_catalogue, report);
 }
 
-void check_settings(std::string const& text, yaml_reader::node const&, file_report& report) {
-    report.errors = settings::check_settings(text, report.file).errors;
+void check_settings(std::string const& text, file_report& report) {
+    accept(settings::check_settings(text, report.file), &settings::review, report);
 }
 
 constexpr std::array<document_kind, 2> kinds{{
@@ -80,7 +88,8 @@
         return;
     }
     report.kind = kind->name;
-    kind->check(text, *root, report);
+    kind->check(text, report);
+    locate(report.warnings, *root);
 }
 
 file_report check_file(std::string const& file) {
@@ -121,9 +130,9 @@
             {"allowed", item.allowed}};
 }
 
-json::object to_json(catalogue::finding const& item) {
+json::object to_json(yaml_reader::finding const& item) {
     return {{"line", item.at.line}, {"column", item.at.column},
-            {"path", item.path},    {"kind", catalogue::finding_kind_names.name(item.kind)},
+            {"path", item.path},    {"kind", yaml_reader::finding_kind_names.name(item.kind)},
             {"found", item.found},  {"advice", item.advice}};
 }
 
