--- a/Tests/catalogue/catalogue_review_test.cpp
+++ b/Tests/catalogue/catalogue_review_test.cpp
@@ -177,6 +177,11 @@
       {"services:\n", "  - {name: east-a, region: East, state: out_of_service}\nservices:\n"},
       {"entries:\n", "entries:\n  - {name: entry-2, failure_domain: east-a, vm: vm-9, peer_address: "
                      "\"127.0.0.1:9009\"}\n"}}},
+    {"branches at the limits of their head office together",
+     {{"  - name: branch\n",
+       "  - {name: kiosk, owner: sales, head_office: head, service_class: interactive, bearer_key_sha256: "
+       "\"3333333333333333333333333333333333333333333333333333333333333333\", services: [wording], limits: "
+       "{requests_per_second: 5, concurrent_requests: 10, tokens_per_second: 500}}\n  - name: branch\n"}}},
     {"stretch to the head office's limit", {{"stretch: 0.5", "stretch: 1"}}},
     {"stretch of a branch whose head office has no limits", {{head_limits, ""}, {"stretch: 0.5", "stretch: 10"}}},
     {"earlier owner set with a target out of service",
