--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -9,13 +9,13 @@
 cmake -S . -B "$build" -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_BUILD_TYPE=Debug \
     -DCMAKE_CXX_FLAGS="-Wno-unknown-warning-option" -DCMAKE_CXX_FLAGS_DEBUG="-g1 -O1" \
     -DCYCLAMENLEDGE_SANITIZERS="address,undefined,fuzzer-no-link" -DCYCLAMENLEDGE_FUZZ=ON >/dev/null
-cmake --build "$build" -j "${CYCLAMENLEDGE_JOBS:-3}" --target fuzz_catalogue fuzz_settings
+cmake --build "$build" -j "${CYCLAMENLEDGE_JOBS:-3}" --target fuzz_catalogue fuzz_review fuzz_settings
 seeds=$(mktemp -d)
 trap 'rm -rf "$seeds"' EXIT
 for example in examples/*/*.yaml; do
     cp "$example" "$seeds/$(echo "$example" | tr / _)"
 done
-for name in catalogue settings; do
+for name in catalogue review settings; do
     # A corpus of an earlier run would make the run depend on more than the seed.
     rm -rf "$build/corpus/$name"
     mkdir -p "$build/corpus/$name"
