--- a/Libraries/forwarding/engine_report.h
+++ b/Libraries/forwarding/engine_report.h
@@ -14,6 +14,8 @@
     std::string request;
     /// KV cache size of the request.
     std::uint32_t tokens{0};
+    /// Events that the request has generated. Zero if the engine does not list them.
+    std::uint32_t events{0};
 };
 
 /// Load and capacity of an engine, as read by the agent on its VM.
@@ -49,8 +51,8 @@
     std::uint32_t waiting_tokens{0};
     /// Time until a request of usual size that arrives now gets room, if it is known.
     std::optional<base::milliseconds> room_in;
-    /// How long work takes at the engine in relation to its nominal speed, as a rule and at the time of the report. Zero
-    /// if it is not known.
+    /// How long work takes at the engine in relation to its nominal speed, as a rule and at the time of the report.
+    /// Zero if it is not known.
     double pace{0};
     double pace_now{0};
 
--- a/Libraries/forwarding/route.h
+++ b/Libraries/forwarding/route.h
@@ -39,6 +39,8 @@
     base::milliseconds timeout{};
     /// Objective for the time to the response, or to the first event of a stream.
     base::milliseconds latency_objective{};
+    /// Objective for the longest pause between two events of a stream. Zero for none.
+    base::milliseconds pause_objective{};
     /// 0 is the most urgent.
     std::uint32_t priority{0};
     /// Maximum number of targets on which one request may run.
--- a/Libraries/metrics/metric_kind.cpp
+++ b/Libraries/metrics/metric_kind.cpp
@@ -36,6 +36,7 @@
     {"permits_received_total", "Permits received for targets with a bounded rate"},
     {"permits_refused_total", "Requests for permits that were refused or not answered"},
     {"unpermitted_sends_total", "Requests sent to targets with a bounded rate without a permit"},
+    {"paces_ignored_total", "Loads and paces stated by targets that were malformed or implausible"},
 }};
 
 constexpr std::array<metric_definition, distribution_kind_count> distributions{{
