Place streams by the pace of engines and calls by the stated load of plain targets

A long stream now avoids an engine whose expected pause exceeds the pause objective of its route while another one has room, also when it is copied off a leaving engine. Reading time and memory are weighed by pace. Plain targets are judged by what they state, if that is more than the own open calls and at most 600 ms old. All of it applies only if paces are followed.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/fleet_view.h"
 
+#include "forwarding/pause_risk.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -29,6 +31,13 @@
 constexpr double cold_load = 0.5;
 // Additional load of an engine without a current report: it may be busy with requests of other entries.
 constexpr double unreported_load = 1.0;
+// A load that a target states counts fully for this time, and then less and less for as long again. Half of a slow
+// phase of 600 ms: afterwards the statement says little about the target.
+constexpr base::milliseconds stated_load_lifetime{300};
+// Bounds of the factor by which a pace changes a load. With a larger one, a slow engine nearby would be passed over for
+// a copy to another failure domain, which takes twice as long.
+constexpr double largest_pace_factor = 2.5;
+constexpr double smallest_pace_factor = 1 / largest_pace_factor;
 // Share of an engine's slots that all entries together may use while there is no report.
 constexpr double unreported_slot_share = 0.5;
 // Share of a cold target's request rate that entries use. A second can hold the permits of another half.
@@ -44,6 +53,10 @@
     return regions == nullptr || regions->empty() || std::ranges::find(*regions, region) != regions->end();
 }
 
+double limit_factor(double pace) {
+    return std::clamp(pace, smallest_pace_factor, largest_pace_factor);
+}
+
 } // namespace
 
 bool target_view::removal_unconfirmed(base::time_point now) const {
@@ -126,6 +139,37 @@
     }
 }
 
+void fleet_view::update_load(std::string const& id, stated_load const& stated, base::time_point now) {
+    auto const found = targets_.find(id);
+    if (found == targets_.end())
+        return;
+    found->second.load = stated;
+    found->second.load_stated_at = now;
+    if (stated.pace)
+        found->second.pace.observe(*stated.pace, now);
+}
+
+std::optional<pace_estimate> fleet_view::pace_of(target_view const& target, base::time_point now) const {
+    if (!follows_pace() || !under_overload_control(target.record.service))
+        return std::nullopt;
+    // The agent sees the statements to all entries and measures the engine as well.
+    bool const known_to_agent = reported(target, now);
+    auto const reported_usual = known_to_agent ? limit_pace(target.report->pace) : std::nullopt;
+    auto const usual = reported_usual ? reported_usual : target.pace.usual();
+    if (!usual)
+        return std::nullopt;
+    auto const report_age = now - target.reported_at;
+    auto const reported_now = known_to_agent && report_age <= target_pace::present_lifetime
+                                  ? limit_pace(target.report->pace_now)
+                                  : std::nullopt;
+    auto stated_now = target.pace.present(now);
+    if (stated_now && reported_usual && contradicts_pace(*stated_now, *reported_usual))
+        stated_now.reset();
+    bool const stated_is_newer = stated_now && (!reported_now || *target.pace.age(now) <= report_age);
+    auto const present = stated_is_newer ? stated_now : reported_now;
+    return pace_estimate{*usual, present.value_or(*usual)};
+}
+
 bool fleet_view::reported_leaving(std::string const& address) const {
     return std::ranges::any_of(targets_, [&](auto const& entry) {
         auto const& target = entry.second;
@@ -287,12 +331,46 @@
                         base::time_point now) const {
     auto const* engine = capacity(target);
     if (engine == nullptr || !size)
-        return static_cast<double>(target.open_requests) / std::max(1U, target.record.slots);
+        return plain_load(target, now);
     if (!reported(target, now))
         return unreported_load + static_cast<double>(target.open_requests) / std::max(1U, engine->slots);
     auto const seen = room(target, now);
     auto const read_time = base::to_seconds(seen.read_wait()) + size->prompt / target.report->reading_pace / 1000.0;
-    return seen.committed_share() + load_per_prefill_second * read_time + (now < target.cold_until ? cold_load : 0);
+    auto const pace = pace_of(target, now).value_or(pace_estimate{});
+    // The agent measures the reading pace, so it contains the usual pace already.
+    return limit_factor(pace.usual) * seen.committed_share() +
+           limit_factor(pace.present / pace.usual) * load_per_prefill_second * read_time +
+           (now < target.cold_until ? cold_load : 0);
+}
+
+double fleet_view::plain_load(target_view const& target, base::time_point now) const {
+    double const open = target.open_requests;
+    auto const pace = pace_of(target, now);
+    if (!pace)
+        return open / std::max(1U, target.record.slots);
+    double requests = open;
+    auto slots = target.record.slots;
+    if (target.load) {
+        auto const age = std::chrono::duration<double>(now - target.load_stated_at) / stated_load_lifetime;
+        auto const weight = std::clamp(2 - age, 0.0, 1.0);
+        auto const stated = static_cast<double>(target.load->running + target.load->waiting);
+        requests += weight * std::max(0.0, stated - open);
+        slots = target.load->slots;
+    }
+    // The request itself counts, so that the pace matters among idle targets as well.
+    return (requests + 1) / std::max(1U, slots) * pace->present;
+}
+
+double fleet_view::pause_score(target_view const& target, placement_request const& request,
+                               base::time_point now) const {
+    auto const* engine = capacity(target);
+    auto const pace = pace_of(target, now);
+    if (engine == nullptr || !pace || !request.size)
+        return 0;
+    auto const reserved = static_cast<std::uint32_t>(target.reservations.size());
+    auto const running = reported(target, now) ? target.report->running + reserved : target.open_requests;
+    return pause_penalty({request.size->expected_output(), engine->tokens_per_event, running, request.pause_objective},
+                         *pace);
 }
 
 std::optional<double> fleet_view::cold_rate(target_view const& target, base::time_point now) const {
@@ -395,8 +473,8 @@
             add_held(held, target, now);
             continue;
         }
-        double const score = load(target, request.size, now) + distance(target) + target.health.failure_share() +
-                             score_jitter * random_.unit();
+        double const score = load(target, request.size, now) + pause_score(target, request, now) + distance(target) +
+                             target.health.failure_share() + score_jitter * random_.unit();
         bool const room = !request.size || has_room(target, *request.size, now);
         if (!permits_request(target, now)) {
             any_cold = any_cold || !target.limit.per_second();
@@ -446,7 +524,7 @@
         auto const span = source == nullptr ? copy_span::other_region : span_between(*source, target);
         if (span > copy.widest)
             continue;
-        double const score = load(target, copy.request.size, now) +
+        double const score = load(target, copy.request.size, now) + pause_score(target, copy.request, now) +
                              copy_span_scores.at(static_cast<std::size_t>(span)) + score_jitter * random_.unit() +
                              (permitted ? 0 : permitless_copy_score) +
                              (reported(target, now) ? 0 : unreported_copy_score);
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -10,9 +10,11 @@
 #include "forwarding/permit_issuer.h"
 #include "forwarding/permit_stock.h"
 #include "forwarding/route_set.h"
+#include "forwarding/stated_load.h"
 #include "forwarding/target_health.h"
 #include "forwarding/target_hold_off.h"
 #include "forwarding/target_limit.h"
+#include "forwarding/target_pace.h"
 #include "forwarding/target_record.h"
 
 #include <deque>
@@ -45,6 +47,8 @@
     base::time_point wait_until{};
     /// Requests of the service that wait at this entry.
     std::size_t waiting{0};
+    /// Objective for the pauses of a stream, see route. Zero for none.
+    base::milliseconds pause_objective{0};
 };
 
 /// Network distance between the source and the destination of a copy.
@@ -122,6 +126,11 @@
     target_hold_off hold_off;
     /// Used while the target has a bounded rate.
     permit_stock permits;
+    /// What the target stated last, and when.
+    std::optional<stated_load> load;
+    base::time_point load_stated_at{};
+    /// Pace by the target's own statements to this process.
+    target_pace pace;
 
     /// Whether the target was removed while the metadata store was unreachable and may still reappear.
     bool removal_unconfirmed(base::time_point now) const;
@@ -160,6 +169,10 @@
     /// Whether requests of the service wait at the agents and may be refused on arrival.
     bool under_overload_control(std::string_view service) const { return overload_.applies_to(service); }
     bool follows_pace() const { return overload_.follows_pace(); }
+    /// Keeps the load, and the pace if there is one, that an answer of the target states.
+    void update_load(std::string const& id, stated_load const& stated, base::time_point now);
+    /// Pace of the target. No value if it is not known, or if the settings or the target's service do not use it.
+    std::optional<pace_estimate> pace_of(target_view const& target, base::time_point now) const;
     void update_target(target_record const& record, base::time_point now);
     void remove_target(std::string const& id, bool store_unreachable, base::time_point now);
     void set_evacuated(std::string const& failure_domain, bool evacuated);
@@ -277,6 +290,10 @@
                                            held_targets const& held, bool room_may_come, base::time_point now);
     double distance(target_view const& target) const;
     double load(target_view const& target, std::optional<generation_size> const& size, base::time_point now) const;
+    /// Load of a plain target, by the open requests of this process and by what the target has stated.
+    double plain_load(target_view const& target, base::time_point now) const;
+    /// Addition to the score of an engine that is too slow for the stream.
+    double pause_score(target_view const& target, placement_request const& request, base::time_point now) const;
     engine_capacity const* capacity(target_view const& target) const;
 
     std::string failure_domain_;
--- a/Libraries/forwarding_entry/request_context.h
+++ b/Libraries/forwarding_entry/request_context.h
@@ -37,6 +37,7 @@
         forwarding::placement_request request;
         request.service = service;
         request.size = caller.size;
+        request.pause_objective = route->pause_objective;
         request.route_homes = &route->home_regions;
         request.organisation_homes = organisation == nullptr ? nullptr : &organisation->home_regions;
         return request;
