Apply the load that answers state at entries

Answers of plain targets and heads of streams state the load and the pace, which entries did not read. A run keeps the stated pace for PlaceEnd.

--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -4,6 +4,7 @@
 #include "forwarding_entry/answer_reader.h"
 #include "forwarding_entry/answers.h"
 #include "forwarding_entry/crash_detector.h"
+#include "forwarding_entry/stated_load_observer.h"
 #include "log/logger.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -314,6 +315,7 @@
     answer_began_ = true;
     auto const facts = platform::decode_answer(head.value());
     parts_.permits.on_answer(target.id, request_.caller.id, facts);
+    apply_stated_load(parts_, request_.service, target, facts);
     auto body = co_await connection->read_whole_body(maximum_answer_bytes, left(), &answer_memory_);
     if (!body) {
         connection->close();
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -6,6 +6,7 @@
 #include "forwarding_entry/copy_slot_client.h"
 #include "forwarding_entry/crash_detector.h"
 #include "forwarding_entry/reservation_client.h"
+#include "forwarding_entry/stated_load_observer.h"
 #include "forwarding_entry/stream_origin_client.h"
 #include "log/logger.h"
 #include "platform/engine_calls.h"
@@ -357,6 +358,8 @@
     auto const connection = current->connection;
     auto const facts = platform::decode_answer(head);
     parts_.permits.on_answer(current->target, request_.caller.id, facts);
+    current->stated_pace =
+        apply_stated_load(parts_, request_.service, {current->target, current->target_started_at}, facts);
     bool const success = head.result_int() == 200;
     if (!success) {
         auto body = co_await connection->read_whole_body(maximum_refusal_bytes, request_.time_left(base::clock::now()),
--- a/Libraries/forwarding_entry/stream_run.h
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -47,6 +47,8 @@
     bool sent{false};
     base::time_point sent_at{};
     bool received_event{false};
+    /// Pace that the target stated in its answer. Zero if it stated none.
+    double stated_pace{0};
     /// Events that arrived from the target.
     std::uint64_t events{0};
     base::time_point first_event_at{};
