Report the pace of engines from agents

The agent collects the paces that entries pass on and what it measures itself, and sends both paces with its reports as soon as an entry has passed on one, so that nothing changes on the wire while paces are not followed.

--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -88,6 +88,8 @@
         });
     hub.handle<wire::schema::PlaceEndT>([this](link::connection&, wire::schema::PlaceEndT const& end) {
         ledger_.end(end.request, base::clock::now());
+        if (end.pace != 0 && !pace_.observe_stated(end.pace, base::clock::now()))
+            daemon_.metrics().add(metrics::counter_kind::paces_ignored);
     });
     hub.handle<wire::schema::LinkTurnDoneT>([this](link::connection&, wire::schema::LinkTurnDoneT const& done) {
         copy_queue_.remove(done.request);
@@ -147,10 +149,13 @@
 void forwarding_agent_role::update_report(forwarding::engine_report const& report) {
     auto const now = base::clock::now();
     // Reservations of the previous incarnation of the engine do not apply to the new one.
-    if (report_ && report_->started_at != report.started_at)
+    if (report_ && report_->started_at != report.started_at) {
         ledger_ = {};
+        pace_ = {};
+    }
     report_ = report;
     ledger_.observe(report, now);
+    pace_.observe_report(report, now);
     bool const state_changed = !last_sent_ || !equal_state(*last_sent_, report);
     bool const load_changed = last_sent_ && now - last_sent_at_ >= load_interval &&
                               !load_as_predicted(*last_sent_, current_report(), now - last_sent_at_);
@@ -180,7 +185,10 @@
 }
 
 forwarding::engine_report forwarding_agent_role::current_report() const {
-    return ledger_.complete(*report_, base::clock::now());
+    auto const now = base::clock::now();
+    auto const report = ledger_.complete(*report_, now);
+    // Entries that do not follow paces state none, and then none is sent.
+    return pace_.followed() ? pace_.complete(report, now) : report;
 }
 
 void forwarding_agent_role::send_to_entries() {
--- a/Libraries/forwarding_agent/forwarding_agent_role.h
+++ b/Libraries/forwarding_agent/forwarding_agent_role.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/copy_queue.h"
+#include "forwarding/engine_pace.h"
 #include "forwarding/engine_report.h"
 #include "forwarding/entry_count.h"
 #include "forwarding/reservation_ledger.h"
@@ -66,6 +67,7 @@
     std::uint32_t failures_{0};
     forwarding::reservation_ledger ledger_;
     forwarding::copy_queue copy_queue_;
+    forwarding::engine_pace pace_;
     std::map<std::uint64_t, link::connection_pointer> entries_;
     forwarding::entry_count entry_count_;
     poison_control::guarded_suspects suspects_;
