--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -94,8 +94,11 @@
         [this](link::connection& entry, wire::schema::PlaceRequestT const& reservation) {
             answer_reservation(entry, reservation);
         });
-    hub.handle<wire::schema::PlaceEndT>(
-        [this](link::connection& entry, wire::schema::PlaceEndT const& end) { end_reservation(entry, end); });
+    hub.handle<wire::schema::PlaceEndT>([this](link::connection& entry, wire::schema::PlaceEndT const& end) {
+        if (end.pace != 0 && !pace_.observe_stated(end.pace, base::clock::now()))
+            daemon_.metrics().add(metrics::counter_kind::paces_ignored);
+        end_reservation(entry, end);
+    });
     hub.handle<wire::schema::LinkTurnDoneT>([this](link::connection&, wire::schema::LinkTurnDoneT const& done) {
         copy_queue_.remove(done.request);
         grant_copy_slots();
@@ -155,7 +158,10 @@
 void forwarding_agent_role::update_report(forwarding::engine_report const& report) {
     auto const now = base::clock::now();
     bool const restarted = report_ && report_->started_at != report.started_at;
+    if (restarted)
+        pace_ = {};
     report_ = report;
+    pace_.observe_report(report, now);
     auto const answers = reservations_.observe(report, now);
     bool const state_changed = !last_sent_ || !equal_state(*last_sent_, report);
     bool const failing_differs = failing_changed(restarted ? "restarted" : report.leaving ? "leaving" : "served");
@@ -254,7 +260,10 @@
 }
 
 forwarding::engine_report forwarding_agent_role::current_report() const {
-    return reservations_.complete(*report_, base::clock::now());
+    auto const now = base::clock::now();
+    auto const report = reservations_.complete(*report_, now);
+    // Entries that do not follow paces state none, and then none is sent.
+    return pace_.followed() ? pace_.complete(report, now) : report;
 }
 
 void forwarding_agent_role::send_to_entries() {
