Spread requests over targets by the age of their reports

Entries with the same reports choose the same targets: with reports 500 ms old, the load of 46 targets deviates by 0.80 (30 entries) and 1.31 (100 entries) in a simulation in virtual time, and by 0.17 with one entry and fresh reports.

load_spread draws a target with the probability at which the expected arrivals since its report fill all drawn targets to one level (interpretation of stale load). fleet_view::choose uses it for services under overload control; others are served as before. Without a count of entries, the better of two random targets gets the request.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -379,6 +379,35 @@
     return made;
 }
 
+spread_candidate fleet_view::spread_view(candidate const& item, std::optional<generation_size> const& size,
+                                         base::time_point now) const {
+    auto const& target = *item.target;
+    auto const* engine = capacity(target);
+    if (engine == nullptr || !size)
+        return {item.score, 1.0 / std::max(1U, target.record.slots), {}};
+    // Without a current report, nothing is known of the requests of other entries for longer than it would be valid.
+    if (!reported(target, now))
+        return {item.score, 1.0 / std::max(1U, engine->slots), report_lifetime};
+    auto const& report = *target.report;
+    auto const memory = static_cast<double>(size->expected_memory()) / std::max(1U, report.total_tokens);
+    auto const read_time = size->prompt / report.reading_pace / 1000.0;
+    return {item.score, memory + load_per_prefill_second * read_time, now - target.reported_at};
+}
+
+fleet_view::candidate const& fleet_view::pick(std::vector<candidate> const& list, placement_request const& request,
+                                              base::time_point now) {
+    if (!under_overload_control(request.service))
+        return *std::ranges::min_element(list, {}, &candidate::score);
+    std::vector<spread_candidate> candidates;
+    candidates.reserve(list.size());
+    for (auto const& item : list)
+        candidates.push_back(spread_view(item, request.size, now));
+    auto& spread = spreads_.try_emplace(std::string{request.service}).first->second;
+    auto const picked = spread.pick(candidates, count_entries(now), now, random_);
+    spread.on_placed(now);
+    return list[picked];
+}
+
 placement fleet_view::choose(placement_request const& request, base::time_point now) {
     std::vector<candidate> healthy;
     std::vector<candidate> ejected;
@@ -387,6 +416,7 @@
     held_targets held;
     bool any_eligible = false;
     bool any_cold = false;
+    bool const spreads = under_overload_control(request.service);
     for (auto& [id, target] : targets_) {
         if (!eligible(target, request, now))
             continue;
@@ -396,7 +426,7 @@
             continue;
         }
         double const score = load(target, request.size, now) + distance(target) + target.health.failure_share() +
-                             score_jitter * random_.unit();
+                             (spreads ? 0 : score_jitter * random_.unit());
         bool const room = !request.size || has_room(target, *request.size, now);
         if (!permits_request(target, now)) {
             any_cold = any_cold || !target.limit.per_second();
@@ -412,7 +442,7 @@
             healthy.push_back({&target, score});
     }
     auto const place_at_best = [&](std::vector<candidate> const& list, std::string_view reason) {
-        auto const& best = *std::ranges::min_element(list, {}, &candidate::score);
+        auto const& best = pick(list, request, now);
         placement made{placement_kind::placed, best.target->record.id, reason};
         if (permitless.best.target != nullptr && permitless.best.score < best.score)
             made.permit_wanted = permitless.best.target->record.id;
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -6,6 +6,7 @@
 #include "forwarding/engine_room.h"
 #include "forwarding/entry_count.h"
 #include "forwarding/generation_size.h"
+#include "forwarding/load_spread.h"
 #include "forwarding/overload_control.h"
 #include "forwarding/permit_issuer.h"
 #include "forwarding/permit_stock.h"
@@ -180,7 +181,8 @@
     /// expect to send then. Targets that the request excludes count. No value while one takes requests.
     std::optional<placement> find_hold_off(placement_request request, base::time_point now) const;
 
-    /// Chooses the eligible target with the lowest load for a request.
+    /// Chooses an eligible target for a request: the one with the lowest load, or under overload control a random one of
+    /// those with low load.
     placement choose(placement_request const& request, base::time_point now);
     /// Chooses an engine to which the memory of a running request is moved or backed up.
     placement choose_copy_holder(copy_request const& copy, base::time_point now);
@@ -277,6 +279,10 @@
                                            held_targets const& held, bool room_may_come, base::time_point now);
     double distance(target_view const& target) const;
     double load(target_view const& target, std::optional<generation_size> const& size, base::time_point now) const;
+    /// The candidate that gets the request. The list must not be empty.
+    candidate const& pick(std::vector<candidate> const& list, placement_request const& request, base::time_point now);
+    spread_candidate spread_view(candidate const& item, std::optional<generation_size> const& size,
+                                 base::time_point now) const;
     engine_capacity const* capacity(target_view const& target) const;
 
     std::string failure_domain_;
@@ -284,6 +290,8 @@
     base::random_source random_;
     route_set_pointer routes_;
     overload_control overload_;
+    /// For services under overload control.
+    std::map<std::string, load_spread, std::less<>> spreads_;
     std::map<std::string, target_view> targets_;
     std::set<std::string> evacuated_;
     entry_count entries_;
