--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -7,6 +7,7 @@
 #include "forwarding/engine_room.h"
 #include "forwarding/entry_count.h"
 #include "forwarding/generation_size.h"
+#include "forwarding/load_spread.h"
 #include "forwarding/overload_control.h"
 #include "forwarding/permit_issuer.h"
 #include "forwarding/permit_stock.h"
@@ -197,7 +198,8 @@
     /// expect to send then. Targets that the request excludes count. No value while one takes requests.
     std::optional<placement> find_hold_off(placement_request request, base::time_point now) const;
 
-    /// Chooses the eligible target with the lowest load for a request.
+    /// Chooses an eligible target for a request: the one with the lowest load, or under overload control a random one of
+    /// those with low load.
     placement choose(placement_request const& request, base::time_point now);
     /// Chooses the engine at whose agent a request waits that finds no room: the one that is expected to have room
     /// first. No value if no agent is known to keep requests waiting.
@@ -308,6 +310,10 @@
     double plain_load(target_view const& target, base::time_point now) const;
     /// Addition to the score of an engine that is too slow for the stream.
     double pause_score(target_view const& target, placement_request const& request, base::time_point now) const;
+    /// The candidate that gets the request. The list must not be empty.
+    candidate const& pick(std::vector<candidate> const& list, placement_request const& request, base::time_point now);
+    spread_candidate spread_view(candidate const& item, std::optional<generation_size> const& size,
+                                 base::time_point now) const;
     engine_capacity const* capacity(target_view const& target) const;
 
     std::string failure_domain_;
@@ -315,6 +321,8 @@
     base::random_source random_;
     route_set_pointer routes_;
     overload_control overload_;
+    /// For services under overload control.
+    std::map<std::string, load_spread, std::less<>> spreads_;
     std::map<std::string, target_view> targets_;
     std::set<std::string> evacuated_;
     entry_count entries_;
