--- a/Libraries/engine_model/engine.cpp
+++ b/Libraries/engine_model/engine.cpp
@@ -9,6 +9,7 @@
 engine::engine(engine_parameters const& parameters, base::time_point now, bool cold)
     : parameters_(parameters)
     , cache_(parameters.cache)
+    , machine_(parameters.machine, now)
     , started_at_(now)
     , cold_since_(cold ? now : now - parameters.cold_duration - base::seconds{60})
     , next_report_(now) {}
@@ -197,7 +198,7 @@
     auto const cost = base::to_seconds(parameters_.step_base) + base::to_seconds(parameters_.step_per_stream) * batch +
                       base::to_seconds(parameters_.step_per_thousand_held) * held_tokens_ / 1000.0 +
                       base::to_seconds(parameters_.prefill_per_token) * prefill;
-    step_end_ = std::max(now, stalled_until_) + base::from_seconds(cost * slowdown(now));
+    step_end_ = std::max(now, stalled_until_) + base::from_seconds(cost * slowdown(now) * machine_.at(now));
 }
 
 void engine::finish_step(base::time_point now, std::vector<engine_event>& events) {
--- a/Libraries/engine_model/engine.h
+++ b/Libraries/engine_model/engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "engine_model/machine_pace.h"
 #include "engine_model/prefix_cache.h"
 
 #include <cstdint>
@@ -21,6 +22,7 @@
     std::uint32_t memory_tokens{48000};
     std::uint32_t maximum_batch{256};
     prefix_cache_parameters cache{};
+    machine_parameters machine{};
     base::duration report_interval{base::milliseconds{500}};
     base::duration report_lag{base::milliseconds{700}};
     /// After a start, the duration of steps is multiplied by cold_slowdown. The factor falls linearly to 1 over this
@@ -128,6 +130,7 @@
 
     engine_parameters parameters_;
     prefix_cache cache_;
+    machine_pace machine_;
     std::vector<generation> generations_;
     std::vector<engine_event> pending_events_;
     std::deque<engine_load_report> reports_;
--- a/Tests/engine_model/engine_test.cpp
+++ b/Tests/engine_model/engine_test.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(load_report_lags);
     CPPUNIT_TEST(overloaded_cold_engine_fails);
     CPPUNIT_TEST(resume_returns_the_missing_tokens);
+    CPPUNIT_TEST(steps_take_as_long_as_the_machine_needs);
+    CPPUNIT_TEST(slow_phases_take_up_their_share);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,6 +135,42 @@
         CPPUNIT_ASSERT(!subject.resume(1, 5, at(2)) && subject.live().empty());
         CPPUNIT_ASSERT(!subject.submit({.id = 2}, at(2)));
     }
+
+    // Guards against a pace that changes the number of steps, or that reading and generating do not share.
+    void steps_take_as_long_as_the_machine_needs() {
+        auto const end_of = [](double pace) {
+            engine_parameters parameters;
+            parameters.machine.pace = pace;
+            engine subject(parameters, at(0), false);
+            subject.submit({.id = 1, .prompt_tokens = 600, .output_tokens = 20}, at(0));
+            auto const events = subject.advance(at(60));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{20}, count(events, engine_event_kind::token));
+            return base::to_seconds(events.back().at - at(0));
+        };
+        for (double const pace : {0.7, 1.7, 4.25})
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(pace, end_of(pace) / end_of(1), 0.001);
+    }
+
+    // Guards against phases that are longer, slower or more frequent than stated, and against machines that all slow
+    // down at the same time.
+    void slow_phases_take_up_their_share() {
+        engine_model::machine_parameters parameters{.pace = 0.7, .slow_share = 0.15};
+        auto const slow_steps = [&](std::uint64_t seed) {
+            parameters.seed = seed;
+            engine_model::machine_pace pace{parameters, at(0)};
+            std::vector<bool> slow;
+            for (int step = 0; step < 200000; ++step) {
+                auto const value = pace.at(at(step / 100.0));
+                slow.push_back(value > 1);
+                CPPUNIT_ASSERT_DOUBLES_EQUAL(slow.back() ? 1.75 : 0.7, value, 1e-9);
+            }
+            return slow;
+        };
+        auto const one = slow_steps(1);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.15, static_cast<double>(std::ranges::count(one, true)) / 200000, 0.02);
+        CPPUNIT_ASSERT(one == slow_steps(1));
+        CPPUNIT_ASSERT(one != slow_steps(2));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(engine_test);
