--- a/Libraries/forwarding/target_pace.h
+++ b/Libraries/forwarding/target_pace.h
@@ -56,7 +56,7 @@
 
     struct value {
         base::time_point since;
-        double pace;
+        double pace{1};
     };
     std::deque<value> values_;
     base::time_point last_at_{};
--- a/Tests/forwarding/pace_placement_test.cpp
+++ b/Tests/forwarding/pace_placement_test.cpp
@@ -1,4 +1,3 @@
-#include "base/random.h"
 #include "forwarding/fleet_fixture.h"
 #include "forwarding/pace_simulation.h"
 #include "forwarding/pause_risk.h"
@@ -6,7 +5,6 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <array>
 #include <map>
 #include <string>
 #include <vector>
--- a/Tests/forwarding/target_pace_test.cpp
+++ b/Tests/forwarding/target_pace_test.cpp
@@ -1,4 +1,3 @@
-#include "base/random.h"
 #include "forwarding/engine_pace.h"
 #include "forwarding/engine_step.h"
 #include "forwarding/fleet_fixture.h"
