Keep spread requests in their region while its targets fill no higher

With reports 500 ms old, 54% of the placements of load_spread went to another region (6% by the lowest score): errors of old reports exceed the distance of 0.25. The entries of each region are now taken to fill the targets there, and far targets are drawn only while the near ones fill to a higher level.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -383,15 +383,16 @@
                                          base::time_point now) const {
     auto const& target = *item.target;
     auto const* engine = capacity(target);
+    bool const far = target.region != region_of(failure_domain_);
     if (engine == nullptr || !size)
-        return {item.score, 1.0 / std::max(1U, target.record.slots), {}};
+        return {item.score, 1.0 / std::max(1U, target.record.slots), {}, far};
     // Without a current report, nothing is known of the requests of other entries for longer than it would be valid.
     if (!reported(target, now))
-        return {item.score, 1.0 / std::max(1U, engine->slots), report_lifetime};
+        return {item.score, 1.0 / std::max(1U, engine->slots), report_lifetime, far};
     auto const& report = *target.report;
     auto const memory = static_cast<double>(size->expected_memory()) / std::max(1U, report.total_tokens);
     auto const read_time = size->prompt / report.reading_pace / 1000.0;
-    return {item.score, memory + load_per_prefill_second * read_time, now - target.reported_at};
+    return {item.score, memory + load_per_prefill_second * read_time, now - target.reported_at, far};
 }
 
 fleet_view::candidate const& fleet_view::pick(std::vector<candidate> const& list, placement_request const& request,
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -181,8 +181,8 @@
     /// expect to send then. Targets that the request excludes count. No value while one takes requests.
     std::optional<placement> find_hold_off(placement_request request, base::time_point now) const;
 
-    /// Chooses an eligible target for a request: the one with the lowest load, or under overload control a random one of
-    /// those with low load.
+    /// Chooses an eligible target for a request: the one with the lowest load, or under overload control a random one
+    /// of those with low load.
     placement choose(placement_request const& request, base::time_point now);
     /// Chooses an engine to which the memory of a running request is moved or backed up.
     placement choose_copy_holder(copy_request const& copy, base::time_point now);
--- a/Libraries/forwarding/load_spread.h
+++ b/Libraries/forwarding/load_spread.h
@@ -18,12 +18,16 @@
     double added{0};
     /// Age of the report behind the load. Zero if the load is this entry's own count, which is never out of date.
     base::duration age{};
+    /// The target is in another region than the entry.
+    bool far{false};
 };
 
 /// Spreads the requests of one service over its targets, of which several entries choose at once from old reports. It
 /// draws each target with the probability at which the arrivals of all entries since the target's report would have
 /// filled it to the level that all drawn targets share (interpretation of stale load, Dahlin 1999). The older the
 /// reports and the higher the rate, the more equal are the probabilities; with fresh reports the lowest level wins.
+/// Far targets are drawn only while the near ones fill to a higher level than the far ones, distance included: the
+/// entries of each region are taken to use the targets there.
 class load_spread {
 public:
     /// Time over which the entry's own placements are averaged. One entry of thirty places about two requests a second
@@ -36,7 +40,7 @@
     static constexpr base::milliseconds lowest_age{1};
 
     /// Index of the target for the next request. The candidates must not be empty. Without a number of entries, the
-    /// better of two random candidates.
+    /// better of two random candidates, of which one is near.
     std::size_t pick(std::span<spread_candidate const> candidates, std::optional<std::uint32_t> entries,
                      base::time_point now, base::random_source& random) const;
     /// Counts a placement of this entry.
--- a/Tests/forwarding/load_spread/load_spread_test.cpp
+++ b/Tests/forwarding/load_spread/load_spread_test.cpp
@@ -68,20 +68,24 @@
             std::optional<std::uint32_t> entries;
             std::vector<double> levels;
             std::vector<double> shares;
+            bool last_is_far{false};
         };
         // The first placement of an entry counts as 4 a second: 8 arrivals of 10 entries in 200 ms, of 0.1 each.
         std::vector<row> const table{
             {"own count", 0ms, 1, {0.3, 0.2, 0.4}, {0, 1, 0}},
             {"old reports", 200ms, 10, {0.2, 0.4, 0.6}, {7.0 / 12, 4.0 / 12, 1.0 / 12}},
             {"more entries", 200ms, 20, {0.2, 0.4, 0.6}, {11.0 / 24, 8.0 / 24, 5.0 / 24}},
-            {"far target above the level", 200ms, 10, {0.2, 0.2, 0.85}, {0.5, 0.5, 0}},
+            {"target above the level", 200ms, 10, {0.2, 0.2, 0.85}, {0.5, 0.5, 0}},
+            {"far target that fills as well", 200ms, 30, {0.2, 0.2, 0.85}, {0.5, 0.5, 0}, true},
+            {"near targets loaded", 200ms, 10, {1, 1, 0.2}, {0, 0, 1}, true},
             {"count unknown", 200ms, std::nullopt, {0.2, 0.4, 0.6}, {5.0 / 9, 3.0 / 9, 1.0 / 9}},
         };
         for_each_row(table, [](row const& tested) {
             base::random_source random{1};
             std::vector<spread_candidate> candidates;
             for (auto const level : tested.levels)
-                candidates.push_back({level, 0.1, tested.age});
+                candidates.push_back({level, 0.1, tested.age, false});
+            candidates.back().far = tested.last_is_far;
             std::vector<double> drawn(candidates.size());
             for (int count = 0; count < 20000; ++count)
                 drawn.at(load_spread{}.pick(candidates, tested.entries, fleet_start, random)) += 1.0 / 20000;
