--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -198,8 +198,8 @@
     /// expect to send then. Targets that the request excludes count. No value while one takes requests.
     std::optional<placement> find_hold_off(placement_request request, base::time_point now) const;
 
-    /// Chooses an eligible target for a request: the one with the lowest load, or under overload control a random one of
-    /// those with low load.
+    /// Chooses an eligible target for a request: the one with the lowest load, or under overload control a random one
+    /// of those with low load.
     placement choose(placement_request const& request, base::time_point now);
     /// Chooses the engine at whose agent a request waits that finds no room: the one that is expected to have room
     /// first. No value if no agent is known to keep requests waiting.
