Pass stated paces on with the end of each run

Cause: entries decoded the pace that an engine states, but told only themselves; agents sent no pace, so that entries judged engines by their own few answers. The end of a run carries it now.

--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -310,13 +310,13 @@
     if (!parts_.board.fleet.under_overload_control(request_.service))
         return {};
     if (ended.received_event)
-        return {run_outcome::served};
+        return {run_outcome::served, ended.stated_pace};
     auto const* view = parts_.board.fleet.find(ended.target);
     bool const expected =
         ended.cancelled || caller_left_ || result.held_off || view == nullptr || view->leaving(base::clock::now());
     bool const answered_with_error = result.outcome == send_outcome::answered && result.server_error();
     bool const failed = result.outcome == send_outcome::unknown || answered_with_error;
-    return {failed && !expected ? run_outcome::failed : run_outcome::not_known};
+    return {failed && !expected ? run_outcome::failed : run_outcome::not_known, ended.stated_pace};
 }
 
 asio::awaitable<send_result> stream_exchange::send_and_read(stream_run_pointer current) {
