Draw targets by chance only where no agent keeps requests waiting

Change: the lowest score decides where agents keep requests waiting, and for plain targets, which state their queues.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -543,10 +543,18 @@
     return {item.score, memory + load_per_prefill_second * read_time, now - target.reported_at, far};
 }
 
+bool fleet_view::spreads_choices(std::vector<candidate> const& list, placement_request const& request) const {
+    // An agent that keeps requests waiting evens out what several entries choose at the same time. Drawing among such
+    // engines left targets idle for longer and evened the load by 5% only. Plain targets state their queues in answers.
+    return request.size && under_overload_control(request.service) &&
+           std::ranges::none_of(
+               list, [](candidate const& item) { return item.target->report && item.target->report->room_in; });
+}
+
 fleet_view::candidate const& fleet_view::pick(std::vector<candidate> const& list, placement_request const& request,
                                               base::time_point now) {
-    if (!under_overload_control(request.service))
-        return *std::ranges::min_element(list, {}, &candidate::score);
+    if (!spreads_choices(list, request))
+        return *std::ranges::min_element(list, {}, [](candidate const& item) { return item.score + item.jitter; });
     std::vector<spread_candidate> candidates;
     candidates.reserve(list.size());
     for (auto const& item : list)
@@ -565,7 +573,7 @@
     held_targets held;
     bool any_eligible = false;
     bool any_cold = false;
-    bool const spreads = under_overload_control(request.service);
+    bool const controlled = under_overload_control(request.service);
     for (auto& [id, target] : targets_) {
         if (!eligible(target, request, now))
             continue;
@@ -574,21 +582,23 @@
             add_held(held, target, now);
             continue;
         }
+        double const jitter = score_jitter * random_.unit();
         double const score = load(target, request.size, now) + pause_score(target, request, now) + distance(target) +
-                             target.health.failure_share() + (spreads ? 0 : score_jitter * random_.unit());
+                             target.health.failure_share() + (controlled ? 0 : jitter);
+        candidate const item{&target, score, controlled ? jitter : 0};
         bool const room = !request.size || has_room(target, request, now);
         if (!permits_request(target, now)) {
             any_cold = any_cold || !target.limit.per_second();
             if (target.limit.per_second() && (room || request.accept_overcommit) && !ejected(target, now))
-                add_permitless(permitless, {&target, score}, now);
+                add_permitless(permitless, item, now);
             continue;
         }
         if (!room)
-            overcommitted.push_back({&target, score});
+            overcommitted.push_back(item);
         else if (ejected(target, now))
-            ejected_targets.push_back({&target, score});
+            ejected_targets.push_back(item);
         else
-            healthy.push_back({&target, score});
+            healthy.push_back(item);
     }
     auto const place_at_best = [&](std::vector<candidate> const& list, std::string_view reason) {
         auto const& best = pick(list, request, now);
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -264,6 +264,8 @@
     struct candidate {
         target_view* target;
         double score;
+        /// Random addition to the score where the lowest one is chosen.
+        double jitter{0};
     };
     /// Targets that a request could use if there were a permit for them.
     struct permitless_targets {
@@ -310,6 +312,8 @@
     double plain_load(target_view const& target, base::time_point now) const;
     /// Addition to the score of an engine that is too slow for the stream.
     double pause_score(target_view const& target, placement_request const& request, base::time_point now) const;
+    /// Whether the candidate is drawn by chance, because nobody evens out what several entries choose.
+    bool spreads_choices(std::vector<candidate> const& list, placement_request const& request) const;
     /// The candidate that gets the request. The list must not be empty.
     candidate const& pick(std::vector<candidate> const& list, placement_request const& request, base::time_point now);
     spread_candidate spread_view(candidate const& item, std::optional<generation_size> const& size,
