Order requests by the priority of the organisation, then that of the route

An organisation's priority replaced that of the route, so that short urgent requests waited behind long ones at the agents and no request belonged to the urgent class.

Change: forwarding::urgency holds both priorities; the organisation's goes first and the route's orders requests of equal organisations. The limits of a class follow the route. Deferrable requests that are late go last, and a deferrable one that does not fit holds back deferrable ones only. Entries judge urgent requests by their own class.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -315,8 +315,11 @@
         return true;
     if (!reported(target, now))
         return has_unreported_room(target, *engine, now);
-    auto const& limits =
-        under_overload_control(request.service) ? limits_of(request.priority) : immediate_prompt_limits;
+    bool const controlled = under_overload_control(request.service);
+    // Those that wait already get the next room.
+    if (controlled && request.urgent.deferrable() && target.report->waiting > 0)
+        return false;
+    auto const& limits = controlled ? limits_of(request.urgent) : immediate_prompt_limits;
     return room(target, now).fits_prompt(request.size->expected_memory(), engine->slots, limits);
 }
 
@@ -335,16 +338,19 @@
     return failing || target.health.ejected(now);
 }
 
-base::milliseconds fleet_view::expected_wait(target_view const& target, generation_size const& size,
+base::milliseconds fleet_view::expected_wait(target_view const& target, placement_request const& request,
                                              base::time_point now) {
     auto const& report = *target.report;
     auto const age = std::chrono::duration_cast<base::milliseconds>(now - target.reported_at);
-    if (report.room_in)
+    // Reports state when a request of the classes that can wait gets room. The most urgent ones get it sooner.
+    if (report.room_in && request.urgent.deferrable())
         return std::max(base::milliseconds{0}, *report.room_in - age);
-    auto const wanted = static_cast<double>(report.committed_tokens) + report.waiting_tokens + size.expected_memory();
-    auto const missing = std::max(0.0, wanted - report.total_tokens);
-    return std::chrono::duration_cast<base::milliseconds>(
-        base::from_seconds(missing / (report.total_tokens / base::to_seconds(memory_turnover) + 1)));
+    auto const ahead = request.urgent.deferrable() ? report.waiting_tokens : 0;
+    auto const wanted = static_cast<double>(report.committed_tokens) + ahead + request.size->expected_memory();
+    auto const missing = std::max(0.0, wanted - limits_of(request.urgent).memory_share * report.total_tokens);
+    auto const memory_wait =
+        base::from_seconds(missing / (report.total_tokens / base::to_seconds(memory_turnover) + 1));
+    return std::chrono::duration_cast<base::milliseconds>(memory_wait) + room(target, now).read_wait();
 }
 
 room_outlook fleet_view::find_room_outlook(placement_request const& request, base::time_point now) const {
@@ -353,11 +359,12 @@
         if (!request.size || !eligible(target, request, now))
             continue;
         ++outlook.engines;
-        if (!reported(target, now) || !target.report->room_in || target.hold_off.active(now))
+        bool const known = request.urgent.deferrable() && reported(target, now) && target.report->room_in;
+        if (!known || target.hold_off.active(now))
             continue;
         auto const per_second =
             target.report->total_tokens / base::to_seconds(memory_turnover) / (request.size->expected_memory() + 1);
-        outlook.add(expected_wait(target, *request.size, now), per_second,
+        outlook.add(expected_wait(target, request, now), per_second,
                     std::chrono::duration_cast<base::milliseconds>(now - target.reported_at));
     }
     return outlook;
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -18,6 +18,7 @@
 #include "forwarding/target_limit.h"
 #include "forwarding/target_pace.h"
 #include "forwarding/target_record.h"
+#include "forwarding/urgency.h"
 
 #include <deque>
 #include <functional>
@@ -50,8 +51,7 @@
     base::time_point wait_until{};
     /// Requests of the service that wait at this entry.
     std::size_t waiting{0};
-    /// 0 is the most urgent.
-    std::uint32_t priority{0};
+    urgency urgent;
     /// Objective for the pauses of a stream, see route. Zero for none.
     base::milliseconds pause_objective{0};
 };
@@ -262,8 +262,8 @@
 
 private:
     struct candidate {
-        target_view* target;
-        double score;
+        target_view* target{nullptr};
+        double score{0};
         /// Random addition to the score where the lowest one is chosen.
         double jitter{0};
     };
@@ -296,7 +296,7 @@
     /// Whether requests of this process, or those of several entries, fail at the target.
     bool ejected(target_view const& target, base::time_point now) const;
     /// Time until the engine is expected to have room for the request, from its report.
-    static base::milliseconds expected_wait(target_view const& target, generation_size const& size,
+    static base::milliseconds expected_wait(target_view const& target, placement_request const& request,
                                             base::time_point now);
     /// Whether the target's rate permits a request now.
     bool permits_request(target_view& target, base::time_point now);
--- a/Libraries/forwarding/prompt_limits.h
+++ b/Libraries/forwarding/prompt_limits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "forwarding/urgency.h"
 
 #include <cstdint>
 
@@ -18,17 +19,7 @@
 /// Prompts that are answered immediately: those of services without overload control.
 inline constexpr prompt_limits immediate_prompt_limits{};
 
-/// The most urgent prompts under overload control. The rest of the memory absorbs streams that exceed their estimate.
-inline constexpr prompt_limits urgent_prompt_limits{0.95, base::milliseconds{500}};
-
-/// Other prompts under overload control. When 17% of the engines leave at once, the streams of five engines have to fit
-/// into each four others of their failure domain. The rest also admits urgent prompts, which take 8% of an engine for
-/// half a second, and the reading time that is kept free is that of half an urgent prompt.
-inline constexpr prompt_limits deferrable_prompt_limits{0.85, base::milliseconds{350}};
-
-/// Priority 0 is the most urgent.
-constexpr prompt_limits const& limits_of(std::uint32_t priority) {
-    return priority == 0 ? urgent_prompt_limits : deferrable_prompt_limits;
-}
+/// Limits of a prompt under overload control.
+prompt_limits const& limits_of(urgency const& urgent);
 
 } // namespace cyclamenledge::forwarding
--- a/Libraries/forwarding/reservation_controller.cpp
+++ b/Libraries/forwarding/reservation_controller.cpp
@@ -13,7 +13,7 @@
 // Request that the expected room of a report refers to: a prompt of usual size that arrives now, of the class that
 // waits longest.
 constexpr std::uint32_t usual_tokens = 3000;
-constexpr std::uint32_t usual_priority = 1;
+constexpr urgency usual_urgency = urgency::of_route(1);
 
 prompt_need need_of(reservation_request const& requested) {
     return {static_cast<double>(requested.memory_tokens), static_cast<double>(requested.unread_tokens), 1};
@@ -32,7 +32,7 @@
 
 bool reservation_controller::try_grant(waiting_reservation const& item, engine_report const& latest,
                                        base::time_point now) {
-    if (!outcomes_.admits(now) || !ledger_.grant(item.requested, latest, now, limits_of(item.priority)))
+    if (!outcomes_.admits(now) || !ledger_.grant(item.requested, latest, now, limits_of(item.urgent)))
         return false;
     outcomes_.on_granted(now);
     return true;
@@ -44,7 +44,7 @@
     outcomes_.advance(now);
     if (latest.leaving || !outcomes_.admits(now))
         return {{item.requested.entry, item.requested.request, false, std::nullopt}};
-    bool const too_large = item.requested.memory_tokens > limits_of(item.priority).memory_share * latest.total_tokens;
+    bool const too_large = item.requested.memory_tokens > limits_of(item.urgent).memory_share * latest.total_tokens;
     // A request that is larger than its class may occupy never gets room by waiting, and would hold back the others.
     bool const waits = !item.requested.accept_overcommit && !too_large;
     if (!waits) {
@@ -123,7 +123,7 @@
     for (auto const& other : queue_.ahead_of(item, now))
         ahead += need_of(other.requested);
     return expected_room{completed, ledger_.releases(latest), slots_}.time_until(need_of(item.requested), ahead,
-                                                                                 limits_of(item.priority));
+                                                                                 limits_of(item.urgent));
 }
 
 reservation_controller::answers reservation_controller::refuse(std::vector<waiting_reservation> const& items,
@@ -139,7 +139,7 @@
 engine_report reservation_controller::complete(engine_report report, base::time_point now) const {
     if (slots_ > 0) {
         waiting_reservation const usual{
-            {0, {}, usual_tokens, usual_tokens, slots_, false}, usual_priority, now, base::time_point::max(), now};
+            {0, {}, usual_tokens, usual_tokens, slots_, false}, usual_urgency, now, base::time_point::max(), now};
         report.room_in = room_in(usual, report, now);
     }
     report = ledger_.complete(std::move(report), now);
--- a/Libraries/forwarding/reservation_queue.cpp
+++ b/Libraries/forwarding/reservation_queue.cpp
@@ -12,7 +12,7 @@
 
 auto rank(waiting_reservation const& item, base::time_point now) {
     bool const late = now >= item.on_time_until;
-    return std::tuple{late, item.priority, item.arrived_at};
+    return std::tuple{late && item.urgent.deferrable(), item.urgent, late, item.arrived_at};
 }
 
 auto by_rank(base::time_point now) {
@@ -52,14 +52,23 @@
 
 std::vector<waiting_reservation>
 reservation_queue::grant(std::function<bool(waiting_reservation const&)> const& try_grant, base::time_point now) {
+    std::vector<waiting_reservation*> order(waiting_.size());
+    std::ranges::transform(waiting_, order.begin(), [](waiting_reservation& item) { return &item; });
+    std::ranges::stable_sort(order, {}, [now](waiting_reservation const* item) { return rank(*item, now); });
     std::vector<waiting_reservation> granted;
-    while (!waiting_.empty()) {
-        auto const first = std::ranges::min_element(waiting_, {}, by_rank(now));
-        if (!try_grant(*first))
+    bool deferrable_held_back = false;
+    for (auto* item : order) {
+        if (deferrable_held_back && item->urgent.deferrable())
+            continue;
+        if (try_grant(*item))
+            granted.push_back(*item);
+        else if (item->urgent.deferrable())
+            deferrable_held_back = true;
+        else
             break;
-        granted.push_back(std::move(*first));
-        waiting_.erase(first);
     }
+    for (auto const& item : granted)
+        remove(item.requested.request);
     return granted;
 }
 
--- a/Libraries/forwarding/reservation_queue.h
+++ b/Libraries/forwarding/reservation_queue.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "forwarding/reservation_ledger.h"
+#include "forwarding/urgency.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,8 +16,7 @@
 /// A request for a reservation that waits at the agent for room.
 struct waiting_reservation {
     reservation_request requested;
-    /// 0 is the most urgent.
-    std::uint32_t priority{0};
+    urgency urgent;
     /// Time of the request's arrival at its entry.
     base::time_point arrived_at{};
     /// Latest time at which the request can still start on time.
@@ -25,10 +25,14 @@
     base::time_point expires_at{};
 };
 
-/// Requests that wait beside an engine for room, ordered by whether they can still start on time, then by priority,
-/// then by arrival. Room goes to the first of them. If entries asked for room repeatedly instead, freed capacity would
-/// go to whichever request asks first, and each question would cost a round trip. A request that does not fit holds
-/// back those behind it, because a large one would otherwise never get room beside small ones.
+/// Requests that wait beside an engine for room, ordered by urgency, then by whether they can still start on time, then
+/// by arrival. Deferrable requests that are late come last: their callers lose little by waiting longer. Late urgent
+/// ones keep their place, because they would wait behind a steady stream of less urgent ones until they are given up.
+///
+/// Room goes to the first request. If entries asked for room repeatedly instead, freed capacity would go to whichever
+/// request asks first, and each question would cost a round trip. A request that does not fit holds back those behind
+/// it, because a large one would otherwise never get room beside small ones. A deferrable one holds back only
+/// deferrable ones, since its class leaves room for the urgent.
 class reservation_queue {
 public:
     /// Maximum number of waiting requests: more than an engine with 24 slots admits within the time that requests wait.
@@ -40,7 +44,7 @@
     void remove(std::string const& request);
     /// Removes the requests of an entry whose connection was closed.
     void remove_entry(std::uint64_t entry);
-    /// Removes and returns requests from the head for as long as the function grants the first one.
+    /// Removes and returns the requests that the function grants, asked in order until one holds back the others.
     std::vector<waiting_reservation> grant(std::function<bool(waiting_reservation const&)> const& try_grant,
                                            base::time_point now);
     /// Removes and returns the requests whose time is over.
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -193,10 +193,12 @@
         send_answers({{entry.number(), message.request, granted, std::nullopt}});
         return;
     }
-    send_answers(
-        reservations_.request({std::move(requested), message.priority, now - base::milliseconds{message.waited_ms},
-                               now + base::milliseconds{message.on_time_ms}, now + base::milliseconds{message.wait_ms}},
-                              *report_, now));
+    send_answers(reservations_.request({std::move(requested),
+                                        {message.priority, message.route_priority},
+                                        now - base::milliseconds{message.waited_ms},
+                                        now + base::milliseconds{message.on_time_ms},
+                                        now + base::milliseconds{message.wait_ms}},
+                                       *report_, now));
 }
 
 void forwarding_agent_role::end_reservation(link::connection& entry, wire::schema::PlaceEndT const& end) {
--- a/Libraries/forwarding_entry/placement_controller.cpp
+++ b/Libraries/forwarding_entry/placement_controller.cpp
@@ -111,7 +111,8 @@
         message.memory_tokens = need.request.size->expected_memory();
         message.slots = board_.fleet.slots_of(target);
         message.accept_crowded = need.request.accept_overcommit;
-        message.priority = need.priority;
+        message.priority = need.request.urgent.organisation;
+        message.route_priority = need.request.urgent.route;
         message.wait_ms = static_cast<std::uint32_t>(wait.count());
         message.on_time_ms = static_cast<std::uint32_t>(milliseconds_between(base::clock::now(), need.on_time_until));
         message.waited_ms = static_cast<std::uint32_t>(milliseconds_between(need.arrived, base::clock::now()));
--- a/Libraries/forwarding_entry/placement_need.cpp
+++ b/Libraries/forwarding_entry/placement_need.cpp
@@ -8,7 +8,7 @@
     need.request = request.placement();
     need.request.excluded = excluded;
     need.priority = request.priority();
-    need.request.priority = need.priority;
+    need.request.urgent = request.urgency();
     need.arrived = request.arrived;
     return need;
 }
--- a/Libraries/forwarding_entry/request_context.h
+++ b/Libraries/forwarding_entry/request_context.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/fleet_view.h"
 #include "forwarding/route_set.h"
+#include "forwarding/urgency.h"
 #include "http/session.h"
 #include "platform/request_headers.h"
 #include "poison/request_content.h"
@@ -30,6 +31,7 @@
     std::uint32_t priority() const {
         return organisation != nullptr && organisation->priority ? *organisation->priority : route->priority;
     }
+    forwarding::urgency urgency() const { return {priority(), route->priority}; }
     base::milliseconds time_left(base::time_point now) const {
         return std::chrono::duration_cast<base::milliseconds>(deadline - now);
     }
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -242,7 +242,7 @@
     created->context.target = target;
     created->context.organisation = request_.organisation == nullptr ? "" : request_.organisation->name;
     if (parts_.board.fleet.under_overload_control(request_.service))
-        created->context.priority = request_.priority();
+        created->context.priority = request_.urgency().engine_level();
     return created;
 }
 
