Wait for full engines instead of going to failing ones

Cause: an engine at which requests fail has room all the time.

Change: under overload control a request waits for another engine, as long as there is an eligible one. Other services are placed as before.

--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -583,6 +583,9 @@
     bool const controlled = under_overload_control(request.service);
     for (auto& [id, target] : targets_) {
         if (!eligible(target, request, now))
+    // Requests that can wait at agents wait for an engine that serves them. An engine at which they fail has room all
+    // the time, so that in a burst it would attract most of them.
+    bool const waits_for_healthy = controlled && request.size;
             continue;
         any_eligible = true;
         if (target.hold_off.active(now)) {
@@ -600,12 +603,13 @@
                 add_permitless(permitless, item, now);
             continue;
         }
-        if (!room)
-            overcommitted.push_back(item);
-        else if (ejected(target, now))
+        bool const is_ejected = (room || waits_for_healthy) && ejected(target, now);
+        if (is_ejected)
             ejected_targets.push_back(item);
         else
             healthy.push_back(item);
+        else if (!room)
+            overcommitted.push_back(item);
     }
     auto const place_at_best = [&](std::vector<candidate> const& list, std::string_view reason) {
         auto const& best = pick(list, request, now);
@@ -618,7 +622,7 @@
         return place_at_best(healthy, "least_loaded");
     // Ejected targets are still used if no other target has room, so that ejection cannot cause an outage of the
     // service.
-    if (!ejected_targets.empty())
+    if (!ejected_targets.empty() && !(waits_for_healthy && !overcommitted.empty()))
         return place_at_best(ejected_targets, "all_others_full_or_ejected");
     if (!overcommitted.empty() && request.accept_overcommit)
         return place_at_best(overcommitted, "crowded");
