Spread waiting requests over agents and refuse those that come too late

Cause: a request without room waited for 300 ms at the engine with the smallest expected wait. Requests that could not be on time were held: they were given up after 15 s, or served late in place of others on time.

Change: the engine for the wait is the best of three drawn at random; engines that seem to have room are asked for an answer at once; a report of room elsewhere ends the wait. A deferrable request is refused as soon as the engine chosen for its wait expects room later than it can start on time, with the time at which room is expected. Refusals are logged with the estimate and counted, placements are logged with their priorities.

--- a/Libraries/forwarding/arrival_decision.h
+++ b/Libraries/forwarding/arrival_decision.h
@@ -24,6 +24,18 @@
     void add(base::milliseconds room_in, double engine_per_second, base::milliseconds report_age);
 };
 
+/// When a request loses its use to its caller.
+struct request_limits {
+    /// Latest time of placement at which the request meets its latency objective.
+    base::time_point on_time_until{};
+    /// Latest time of placement at which the caller is still there.
+    base::time_point give_up_at{};
+
+    /// How long the request may wait for room. One that can no longer be on time waits only for room that comes soon:
+    /// in a burst, later room serves another request on time.
+    base::milliseconds useful_wait(base::time_point now) const;
+};
+
 enum class arrival_verdict : std::uint8_t {
     /// The request is placed, or waits for room.
     accept,
--- a/Libraries/forwarding/fleet_view.cpp
+++ b/Libraries/forwarding/fleet_view.cpp
@@ -24,9 +24,9 @@
 constexpr double unreported_copy_score = 500;
 // Random addition to the score, so that entries with equal views spread over targets of nearly equal load.
 constexpr double score_jitter = 0.06;
-// Random addition to the expected wait in seconds, so that entries with equal views spread over engines that are
-// expected to have room at nearly the same time.
-constexpr double queue_jitter = 0.2;
+// Engines that are compared for a request that has to wait, drawn at random. Reports do not show what other entries
+// have sent since, so that with the best of all engines most requests waited at a few of them (up to 64 at one).
+constexpr int queue_choices = 3;
 // Time in which the memory of a busy engine is given to other requests: a long stream runs for about this long.
 constexpr base::seconds memory_turnover{8};
 // Load for each second until the engine has read the prompt of a new request. The first event is delayed by that time,
@@ -370,21 +370,23 @@
     return outlook;
 }
 
-std::optional<std::string> fleet_view::choose_queue(placement_request const& request, base::time_point now) {
-    target_view const* best = nullptr;
-    double best_score = 0;
+std::optional<queue_choice> fleet_view::choose_queue(placement_request const& request, base::time_point now) {
+    std::vector<candidate> waitable;
     for (auto& [id, target] : targets_) {
         if (!request.size || !eligible(target, request, now) || target.hold_off.active(now) || ejected(target, now) ||
             !reported(target, now) || !permits_request(target, now))
             continue;
-        double const score = base::to_seconds(expected_wait(target, *request.size, now)) + distance(target) +
-                             queue_jitter * random_.unit();
-        if (best == nullptr || score < best_score) {
-            best = &target;
-            best_score = score;
-        }
+        waitable.push_back({&target, base::to_seconds(expected_wait(target, request, now)) + distance(target), 0});
+    }
+    if (waitable.empty())
+        return std::nullopt;
+    auto const* best = &waitable[random_.below(waitable.size())];
+    for (int other = 1; other < queue_choices; ++other) {
+        auto const& item = waitable[random_.below(waitable.size())];
+        if (item.score < best->score)
+            best = &item;
     }
-    return best == nullptr ? std::nullopt : std::optional{best->record.id};
+    return queue_choice{best->target->record.id, expected_wait(*best->target, request, now)};
 }
 
 bool fleet_view::has_room_for_copy(target_view const& target, copy_request const& copy, base::time_point now) const {
@@ -581,11 +583,11 @@
     bool any_eligible = false;
     bool any_cold = false;
     bool const controlled = under_overload_control(request.service);
-    for (auto& [id, target] : targets_) {
-        if (!eligible(target, request, now))
     // Requests that can wait at agents wait for an engine that serves them. An engine at which they fail has room all
     // the time, so that in a burst it would attract most of them.
     bool const waits_for_healthy = controlled && request.size;
+    for (auto& [id, target] : targets_) {
+        if (!eligible(target, request, now))
             continue;
         any_eligible = true;
         if (target.hold_off.active(now)) {
@@ -606,10 +608,10 @@
         bool const is_ejected = (room || waits_for_healthy) && ejected(target, now);
         if (is_ejected)
             ejected_targets.push_back(item);
-        else
-            healthy.push_back(item);
         else if (!room)
             overcommitted.push_back(item);
+        else
+            healthy.push_back(item);
     }
     auto const place_at_best = [&](std::vector<candidate> const& list, std::string_view reason) {
         auto const& best = pick(list, request, now);
--- a/Libraries/forwarding/fleet_view.h
+++ b/Libraries/forwarding/fleet_view.h
@@ -98,6 +98,12 @@
     base::time_point held_until{};
 };
 
+/// An engine at whose agent a request may wait, and the expected time until it has room.
+struct queue_choice {
+    std::string target;
+    base::milliseconds expected_wait{0};
+};
+
 /// State of a target in the view of this process.
 struct target_view {
     target_record record;
@@ -201,9 +207,9 @@
     /// Chooses an eligible target for a request: the one with the lowest load, or under overload control a random one
     /// of those with low load.
     placement choose(placement_request const& request, base::time_point now);
-    /// Chooses the engine at whose agent a request waits that finds no room: the one that is expected to have room
-    /// first. No value if no agent is known to keep requests waiting.
-    std::optional<std::string> choose_queue(placement_request const& request, base::time_point now);
+    /// Chooses the engine at whose agent a request waits that finds no room: of a few, the one that is expected to have
+    /// room first. No value if no agent is known to keep requests waiting.
+    std::optional<queue_choice> choose_queue(placement_request const& request, base::time_point now);
     /// When the engines that may run the request are expected to have room for it.
     room_outlook find_room_outlook(placement_request const& request, base::time_point now) const;
     /// Chooses an engine to which the memory of a running request is moved or backed up.
--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -68,7 +68,7 @@
     , reservations_(daemon.context(), daemon.hub(), agent_directory_)
     , permits_(daemon.context(), daemon.hub(), board_, agent_directory_, daemon.metrics())
     , notices_(daemon.context(), board_)
-    , placements_(daemon.context(), board_, reservations_, permits_)
+    , placements_(daemon.context(), board_, reservations_, permits_, daemon.metrics())
     , connections_(daemon.context().get_executor())
     , copy_slots_(daemon.context(), daemon.hub(), agent_directory_)
     , stream_origins_(daemon.context(), daemon.hub())
--- a/Libraries/forwarding_entry/placement_controller.cpp
+++ b/Libraries/forwarding_entry/placement_controller.cpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace cyclamenledge::forwarding_entry {
 
@@ -25,7 +26,9 @@
 constexpr base::milliseconds reservation_retry_delay{100};
 // How long a request waits at one agent before its entry looks for a better engine. Reports of the others are at most
 // this much older than the choice.
-constexpr base::milliseconds agent_wait{300};
+constexpr base::milliseconds agent_wait{1000};
+// The agent grants in order if there is room, and refuses otherwise.
+constexpr base::milliseconds shortest_wait{1};
 // An answer within this time was not waited for: the agent's queue is full, or it keeps none.
 constexpr base::milliseconds immediate_answer{60};
 // Requests of this entry that wait at agents. Beyond it, a caller is served faster by another entry.
@@ -131,6 +134,10 @@
                 {"unread_tokens", view != nullptr && view->report ? view->report->unread_tokens : 0},
                 {"running", view != nullptr && view->report ? view->report->running : 0},
                 {"report_age_ms", view != nullptr ? milliseconds_between(view->reported_at, now) : 0},
+                {"priority", need.request.urgent.organisation},
+                {"route_priority", need.request.urgent.route},
+                {"wanted_tokens", need.request.size ? need.request.size->expected_memory() : 0},
+                {"waiting", view != nullptr && view->report ? view->report->waiting : 0},
                 {"own_open", view != nullptr ? view->open_requests : 0},
                 {"limit", std::to_string(view != nullptr ? view->limit.per_second().value_or(0) : 0)},
                 {"waited_ms", milliseconds_between(need.arrived, now)}});
@@ -154,13 +161,14 @@
 std::optional<placement_controller::choice> placement_controller::choose_or_queue(placement_need& need,
                                                                                   base::time_point now) {
     need.request.wait_until = need.on_time_until;
-    need.request.waiting = waiting_at_agents_;
+    need.request.waiting = at_agents_.size();
     choice made{choose_and_request_permit(need, now), 0};
     if (made.placed.kind == forwarding::placement_kind::wait) {
         auto queue = board_.fleet.choose_queue(need.request, now);
         if (!queue)
             return std::nullopt;
-        made.placed = {forwarding::placement_kind::placed, std::move(*queue), "first_room"};
+        made.placed = {forwarding::placement_kind::placed, std::move(queue->target), "first_room"};
+        made.wait = queue->expected_wait;
     }
     if (made.placed.kind == forwarding::placement_kind::placed)
         made.reservation = board_.fleet.begin_request(made.placed.target, need.request.size, now);
@@ -168,28 +176,45 @@
 }
 
 std::optional<base::error> placement_controller::refuse_without_outlook(placement_need const& need,
+                                                                        base::milliseconds expected_wait,
                                                                         base::time_point now) {
-    auto const outlook = board_.fleet.find_room_outlook(need.request, now);
-    auto const useful_for = time_between(now, need.give_up_at);
+    auto outlook = board_.fleet.find_room_outlook(need.request, now);
+    outlook.first_room = expected_wait;
+    auto const useful_for = forwarding::request_limits{need.on_time_until, need.give_up_at}.useful_wait(now);
     if (forwarding::decide_arrival(outlook, useful_for) == forwarding::arrival_verdict::accept)
         return std::nullopt;
     auto const entries = board_.fleet.count_entries(now).value_or(1);
     auto& schedule = return_schedules_[std::string{need.request.service}];
-    auto const return_in = schedule.next(now + outlook.first_room, outlook.per_second / entries, now);
-    return refuse(need, "no_room_in_time", return_in);
+    auto const return_in = schedule.next(now + expected_wait, outlook.per_second / entries, now);
+    metrics_.add(metrics::counter_kind::refused_without_room);
+    log::write(log::event_kind::request_refused, {{"request", need.request_id},
+                                                  {"reason", "no_room_in_time"},
+                                                  {"service", need.request.service},
+                                                  {"waiting", at_agents_.size()},
+                                                  {"room_in_ms", expected_wait.count()},
+                                                  {"useful_for_ms", useful_for.count()},
+                                                  {"report_age_ms", outlook.oldest_report.count()},
+                                                  {"retry_ms", return_in.count()},
+                                                  {"waited_ms", milliseconds_between(need.arrived, now)}});
+    return base::make_error(base::error_kind::overloaded, "no target is expected to have room in time", return_in);
 }
 
 asio::awaitable<base::result<std::string>> placement_controller::place_by_agents(placement_need need) {
-    if (waiting_at_agents_ >= maximum_waiting_at_agents)
+    if (at_agents_.size() >= maximum_waiting_at_agents)
         co_return refuse(need, "line_full");
-    ++waiting_at_agents_;
-    auto result = co_await wait_at_agents(need);
-    --waiting_at_agents_;
+    auto const number = next_number_++;
+    agent_request self{&need};
+    at_agents_[number] = &self;
+    auto result = co_await wait_at_agents(self);
+    at_agents_.erase(number);
+    if (self.other_engine)
+        discard(*self.other_engine, base::clock::now());
     co_return result;
 }
 
-asio::awaitable<base::result<std::string>> placement_controller::wait_at_agents(placement_need& need) {
+asio::awaitable<base::result<std::string>> placement_controller::wait_at_agents(agent_request& self) {
     asio::steady_timer timer{context_};
+    auto& need = *self.need;
     while (true) {
         auto const now = base::clock::now();
         if (need.is_cancelled())
@@ -197,15 +222,34 @@
         auto const give_up_at = std::min(need.give_up_at, queue_end_);
         if (now >= give_up_at)
             co_return refuse(need, "no_room");
-        auto const chosen = choose_or_queue(need, now);
-        if (chosen && chosen->refused())
-            co_return refuse(need, chosen->placed);
-        if (chosen) {
-            if (co_await reserve_at_agent(need, *chosen, std::min(agent_wait, time_between(now, give_up_at))))
+        for (int attempt = 0; attempt < maximum_reservation_attempts; ++attempt) {
+            auto chosen = std::exchange(self.other_engine, std::nullopt);
+            if (!chosen)
+                chosen = choose_or_queue(need, base::clock::now());
+            if (!chosen)
+                break;
+            if (chosen->refused())
+                co_return refuse(need, chosen->placed);
+            // An engine that seems to have room answers at once, so that a stale report costs one round trip.
+            auto wait = shortest_wait;
+            if (chosen->wait) {
+                if (auto refused = refuse_without_outlook(need, *chosen->wait, base::clock::now())) {
+                    discard(*chosen, base::clock::now());
+                    co_return std::move(*refused);
+                }
+                wait = std::min(agent_wait, time_between(now, give_up_at));
+                self.waits_at = chosen->placed.target;
+                metrics_.add(metrics::counter_kind::waits_at_agents);
+            }
+            bool const granted = co_await reserve_at_agent(need, *chosen, wait);
+            self.waits_at.clear();
+            if (granted)
                 co_return chosen->placed.target;
+            if (chosen->wait && !self.other_engine)
+                break;
         }
-        if (auto refused = refuse_without_outlook(need, base::clock::now()))
-            co_return std::move(*refused);
+        if (self.other_engine)
+            continue;
         if (base::clock::now() - now > immediate_answer)
             continue;
         timer.expires_after(reservation_retry_delay);
@@ -213,6 +257,11 @@
     }
 }
 
+void placement_controller::discard(choice const& unused, base::time_point now) {
+    board_.fleet.withdraw_request(unused.placed.target, now);
+    board_.fleet.release_reservation(unused.placed.target, unused.reservation);
+}
+
 asio::awaitable<base::result<std::string>> placement_controller::place(placement_need need) {
     auto const now = base::clock::now();
     if (need.request.size && board_.fleet.under_overload_control(need.request.service))
@@ -308,10 +357,36 @@
     }
 }
 
+void placement_controller::leave_agents_for_room(base::time_point now) {
+    std::vector<agent_request*> waiting;
+    for (auto const& [number, item] : at_agents_) {
+        if (!item->waits_at.empty() && !item->other_engine)
+            waiting.push_back(item);
+    }
+    std::ranges::stable_sort(waiting, {}, [](agent_request const* item) { return item->need->request.urgent; });
+    std::size_t tried = 0;
+    for (auto* item : waiting) {
+        if (++tried > maximum_attempts_per_change)
+            return;
+        auto const& request = item->need->request;
+        choice found{board_.fleet.choose(request, now)};
+        if (found.refused() || found.placed.target == item->waits_at)
+            continue;
+        found.reservation = board_.fleet.begin_request(found.placed.target, request.size, now);
+        item->other_engine = std::move(found);
+        reservations_.stop_waiting(item->need->request_id);
+    }
+}
+
 void placement_controller::on_capacity_change() {
-    if (queued_.empty())
-        return;
     auto const now = base::clock::now();
+    if (!at_agents_.empty())
+        leave_agents_for_room(now);
+    if (!queued_.empty())
+        retry_queued(now);
+}
+
+void placement_controller::retry_queued(base::time_point now) {
     std::set<std::string> services;
     for (auto const& [number, queued] : queued_)
         services.emplace(queued->need->request.service);
--- a/Libraries/forwarding_entry/placement_controller.h
+++ b/Libraries/forwarding_entry/placement_controller.h
@@ -6,6 +6,7 @@
 #include "forwarding_entry/permit_controller.h"
 #include "forwarding_entry/placement_need.h"
 #include "forwarding_entry/reservation_client.h"
+#include "metrics/registry.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -22,11 +23,12 @@
 class placement_controller {
 public:
     placement_controller(boost::asio::io_context& context, blackboard& board, reservation_client& reservations,
-                         permit_controller& permits)
+                         permit_controller& permits, metrics::registry& metrics)
         : context_(context)
         , board_(board)
         , reservations_(reservations)
-        , permits_(permits) {}
+        , permits_(permits)
+        , metrics_(metrics) {}
 
     /// Returns the id of the target. The request counts as open there until release is called.
     boost::asio::awaitable<base::result<std::string>> place(placement_need need);
@@ -57,6 +59,8 @@
         forwarding::placement placed;
         /// Reservation that counts the request at the target until the agent's reports include it.
         std::uint64_t reservation{0};
+        /// Expected time until there is room, if the request waits for it at the engine's agent.
+        std::optional<base::milliseconds> wait{};
 
         bool refused() const { return placed.kind != forwarding::placement_kind::placed; }
     };
@@ -69,6 +73,15 @@
         std::optional<choice> chosen_target;
     };
 
+    /// A request under overload control.
+    struct agent_request {
+        placement_need* need{nullptr};
+        /// The engine at whose agent it waits. Empty while it does not wait.
+        std::string waits_at{};
+        /// Another engine that has got room meanwhile, counted there already.
+        std::optional<choice> other_engine{};
+    };
+
     /// Chooses a target by the local fleet view and counts the request there. No value when the request has to wait.
     std::optional<choice> choose(placement_need& need, base::time_point now);
     forwarding::placement choose_and_request_permit(placement_need const& need, base::time_point now);
@@ -79,11 +92,17 @@
     /// Places a request of a service under overload control. Without room it waits at the agent of the engine that is
     /// expected to have room first, so that the most urgent request of all entries gets the room.
     boost::asio::awaitable<base::result<std::string>> place_by_agents(placement_need need);
-    boost::asio::awaitable<base::result<std::string>> wait_at_agents(placement_need& need);
+    boost::asio::awaitable<base::result<std::string>> wait_at_agents(agent_request& self);
+    /// Ends the wait of requests at one agent when another engine has room. They lose no rank, since agents order them
+    /// by their arrival at the entry.
+    void leave_agents_for_room(base::time_point now);
+    void retry_queued(base::time_point now);
+    void discard(choice const& unused, base::time_point now);
     /// Chooses an engine for the next attempt of place_by_agents. No value if none can be asked now.
     std::optional<choice> choose_or_queue(placement_need& need, base::time_point now);
-    /// Refuses the request if no engine will have room for it in time. No value if it may wait.
-    std::optional<base::error> refuse_without_outlook(placement_need const& need, base::time_point now);
+    /// Refuses the request if room comes too late for it. No value if it may wait for the expected time.
+    std::optional<base::error> refuse_without_outlook(placement_need const& need, base::milliseconds expected_wait,
+                                                      base::time_point now);
     boost::asio::awaitable<base::result<std::string>> wait_in_queue(placement_need& need, std::uint64_t number);
     base::error refuse(placement_need const& need, std::string_view reason,
                        base::milliseconds retry_after = default_retry_after) const;
@@ -98,11 +117,12 @@
     blackboard& board_;
     reservation_client& reservations_;
     permit_controller& permits_;
+    metrics::registry& metrics_;
     std::map<std::string, forwarding::return_schedule, std::less<>> return_schedules_;
     std::map<std::uint64_t, queued_request*> queued_;
     std::uint64_t next_number_{1};
     /// Requests in place_by_agents.
-    std::size_t waiting_at_agents_{0};
+    std::map<std::uint64_t, agent_request*> at_agents_;
     base::time_point queue_end_{base::time_point::max()};
 };
 
--- a/Libraries/forwarding_entry/reservation_client.cpp
+++ b/Libraries/forwarding_entry/reservation_client.cpp
@@ -14,7 +14,8 @@
 // Three times the round trip to the furthest region. When an agent takes longer, another engine is the better choice.
 constexpr base::milliseconds answer_timeout{150};
 
-constexpr base::name_table<reservation_reply, 3> reply_names{base::make_names({"granted", "refused", "silent"})};
+constexpr base::name_table<reservation_reply, 4> reply_names{
+    base::make_names({"granted", "refused", "silent", "withdrawn"})};
 
 } // namespace
 
@@ -47,11 +48,19 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     pending_.erase(request);
     // A grant that arrives after the timeout must not hold the reservation.
-    if (pending.reply == reservation_reply::unresponsive)
+    if (pending.reply == reservation_reply::unresponsive || pending.reply == reservation_reply::withdrawn)
         release(engine_address, request);
     co_return pending.reply;
 }
 
+void reservation_client::stop_waiting(std::string const& request) {
+    auto const found = pending_.find(request);
+    if (found == pending_.end() || found->second->reply != reservation_reply::unresponsive)
+        return;
+    found->second->reply = reservation_reply::withdrawn;
+    found->second->timer->cancel();
+}
+
 void reservation_client::release(std::string const& engine_address, std::string const& request, run_end const& end) {
     auto const agent = agents_.find(engine_address);
     if (!agent)
--- a/Libraries/forwarding_entry/reservation_client.h
+++ b/Libraries/forwarding_entry/reservation_client.h
@@ -19,6 +19,8 @@
     refused,
     /// The agent is not connected or did not answer in time. Its engine may be unreachable as well.
     unresponsive,
+    /// The request stopped waiting before the agent had answered.
+    withdrawn,
 };
 
 std::string_view name_of(reservation_reply reply);
@@ -44,6 +46,8 @@
     reservation_client(boost::asio::io_context& context, link::hub& hub, agent_directory& agents);
 
     boost::asio::awaitable<reservation_reply> reserve(std::string engine_address, wire::schema::PlaceRequestT message);
+    /// Ends the wait for an answer about the request. Without effect if the agent has answered.
+    void stop_waiting(std::string const& request);
     /// Ends the reservation of a request that is no longer at the engine or was never sent to it.
     void release(std::string const& engine_address, std::string const& request, run_end const& end = {});
 
--- a/Libraries/metrics/metric_kind.cpp
+++ b/Libraries/metrics/metric_kind.cpp
@@ -37,6 +37,8 @@
     {"permits_refused_total", "Requests for permits that were refused or not answered"},
     {"unpermitted_sends_total", "Requests sent to targets with a bounded rate without a permit"},
     {"paces_ignored_total", "Loads and paces stated by targets that were malformed or implausible"},
+    {"refused_without_room_total", "Requests refused because no target was expected to have room in time"},
+    {"waits_at_agents_total", "Waits of requests for room at the agent of an engine"},
 }};
 
 constexpr std::array<metric_definition, distribution_kind_count> distributions{{
