--- a/Libraries/forwarding/reservation_queue.cpp
+++ b/Libraries/forwarding/reservation_queue.cpp
@@ -12,7 +12,7 @@
 
 auto rank(waiting_reservation const& item, base::time_point now) {
     bool const late = now >= item.on_time_until;
-    return std::tuple{late && item.urgent.deferrable(), item.urgent, late, item.arrived_at};
+    return std::tuple{late && item.urgent.deferrable(), item.urgent.rank(), late, item.arrived_at};
 }
 
 auto by_rank(base::time_point now) {
--- a/Libraries/forwarding/urgency.h
+++ b/Libraries/forwarding/urgency.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <algorithm>
-#include <compare>
 #include <cstdint>
+#include <utility>
 
 namespace cyclamenledge::forwarding {
 
@@ -25,7 +25,8 @@
         return std::min(lowest_level,
                         route_levels * std::min(organisation, lowest_level) + std::min(route, route_levels - 1));
     }
-    friend constexpr auto operator<=>(urgency const&, urgency const&) = default;
+    /// Orders requests, the most urgent first.
+    constexpr std::pair<std::uint32_t, std::uint32_t> rank() const { return {organisation, route}; }
 };
 
 } // namespace cyclamenledge::forwarding
--- a/Libraries/forwarding_entry/placement_controller.cpp
+++ b/Libraries/forwarding_entry/placement_controller.cpp
@@ -363,7 +363,7 @@
         if (!item->waits_at.empty() && !item->other_engine)
             waiting.push_back(item);
     }
-    std::ranges::stable_sort(waiting, {}, [](agent_request const* item) { return item->need->request.urgent; });
+    std::ranges::stable_sort(waiting, {}, [](agent_request const* item) { return item->need->request.urgent.rank(); });
     std::size_t tried = 0;
     for (auto* item : waiting) {
         if (++tried > maximum_attempts_per_change)
--- a/Tests/forwarding/overload_control_test.cpp
+++ b/Tests/forwarding/overload_control_test.cpp
@@ -218,7 +218,7 @@
             {"organisations without a priority", urgency::of_route(0), urgency::of_route(1)},
         };
         for_each_row(table, [](row const& tested) {
-            CPPUNIT_ASSERT(tested.first < tested.second);
+            CPPUNIT_ASSERT(tested.first.rank() < tested.second.rank());
             CPPUNIT_ASSERT(tested.first.engine_level() < tested.second.engine_level());
         });
         CPPUNIT_ASSERT(!urgency({1, 0}).deferrable() && urgency({0, 1}).deferrable());
--- a/Tests/forwarding/reservation_controller_test.cpp
+++ b/Tests/forwarding/reservation_controller_test.cpp
@@ -201,7 +201,7 @@
                     for (auto const& other : waiting) {
                         auto const rank = [now](waiting_reservation const& one) {
                             bool const late = now >= one.on_time_until;
-                            return std::tuple{late && one.urgent.route > 0, one.urgent, late, one.arrived_at};
+                            return std::tuple{late && one.urgent.route > 0, one.urgent.rank(), late, one.arrived_at};
                         };
                         CPPUNIT_ASSERT(now >= other.expires_at || rank(taken) <= rank(other));
                     }
