--- a/review/harness/store.h
+++ b/review/harness/store.h
@@ -23,7 +23,7 @@
 }
 
 /// How the store treats one caller, which is known by the port that it uses.
-enum class store_access { serving, silent };
+enum class store_access { serving, silent, busy };
 
 /// The platform's metadata store: reads, listings and watches. The operator and the runners write by function calls.
 class store {
@@ -43,16 +43,18 @@
     std::uint64_t put(std::string const& key, std::string const& value) { return change(key, value, false); }
     std::uint64_t remove(std::string const& key) { return change(key, {}, true); }
 
-    /// A silent port answers nothing and keeps its connections, as behind a partition.
+    /// A silent port answers nothing and keeps its connections, as behind a partition. A busy one answers 503 at once.
     void set_access(address const& where, store_access access) {
         auto& gate = *ports_.at(where.text());
+        bool was_silent = false;
         {
             std::scoped_lock const lock{mutex_};
+            was_silent = gate.access == store_access::silent;
             gate.access = access;
         }
         changed_.notify_all();
-        // Connections that were silent stay so: what was sent on them is lost.
-        if (access == store_access::serving)
+        // What was sent on silent connections is lost.
+        if (was_silent)
             gate.listening->close_channels();
     }
     /// Cuts the watches that wait now.
@@ -145,6 +147,7 @@
             auto const target = received->target();
             std::string body;
             bool cut = false;
+            bool busy = false;
             {
                 std::unique_lock lock{mutex_};
                 if (target.starts_with("/-/kv-watch")) {
@@ -155,13 +158,14 @@
                                                           std::chrono::duration<double, std::milli>(wait));
                     auto const cuts = cuts_;
                     changed_.wait_until(lock, until, [&] {
-                        return gate.access == store_access::silent || cuts != cuts_ || !events(prefix, after).empty();
+                        return gate.access != store_access::serving || cuts != cuts_ || !events(prefix, after).empty();
                     });
                     cut = cuts != cuts_;
                     body = "{\"events\":[" + events(prefix, after) + "],\"asOf\":" + std::to_string(revision_) + "}";
                 } else {
                     body = list(query(target, "prefix"), query(target, "after"));
                 }
+                busy = gate.access == store_access::busy;
                 if (gate.access == store_access::silent) {
                     lock.unlock();
                     // Nothing answers on this connection any more.
@@ -175,7 +179,9 @@
                 caller->shut_down();
                 return;
             }
-            if (!caller->send(format_answer("200 OK", {{"Content-Type", "application/json"}}, body)))
+            auto const answer = busy ? format_answer("503 Service Unavailable", {}, "")
+                                     : format_answer("200 OK", {{"Content-Type", "application/json"}}, body);
+            if (!caller->send(answer))
                 return;
         }
     }
