--- a/review/2/case.cpp
+++ b/review/3/case.cc
@@ -1,6 +1,6 @@
-// An entry that is not a seed follows the seeds and not the store while two of them send to it. Seeds that have lost the
-// store go on sending the old revision for up to 4.2 s, so the entry in touch applies changes too late.
-#include "../harness/client.h"
+// An entry that is not a seed follows the seeds and not the store while two of them send to it. Seeds that have lost
+// the store go on sending the old revision for up to 4.2 s, so the entry in touch applies changes too late.
+#include "../harness/client.hpp"
 
 using namespace review;
 
@@ -63,7 +63,8 @@
                 continue;
             last = std::max(last, after);
         }
-        say("requests that entry 4 had run later than %.0f ms after the ack: %d on the removed route, %d with the removed "
+        say("requests that entry 4 had run later than %.0f ms after the ack: %d on the removed route, %d with the "
+            "removed "
             "key, the last one sent after %.0f ms",
             fleet::config_ms, route_used, key_used, last);
         return route_used + key_used > 0 ? verdict::broken : verdict::held;
--- a/review/3/case.cpp
+++ b/review/4/case.cc
@@ -1,7 +1,7 @@
 // After an outage of the store, an entry that follows the seeds takes every removal of a runner as not confirmed for as
 // long as it follows them, and keeps the runner in use for 2.2 s from when it learns of the removal. With the pause
 // between two watches of the seeds, requests reach the runner later than drainMs after the removal.
-#include "../harness/client.h"
+#include "../harness/client.hpp"
 
 using namespace review;
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p build
-for source in [1-9]/case.cpp; do
+for source in [1-9]/case.cc; do
     number=${source%%/*}
     g++ -std=c++20 -O1 -g -Wall -Wextra -Wno-missing-field-initializers -pthread -o "build/case-$number" "$source" &
 done
--- a/review/harness/http.h
+++ b/review/harness/http.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "record.h"
+#include "record.hpp"
 
 #include <algorithm>
 #include <arpa/inet.h>
--- a/review/harness/record.h
+++ b/review/harness/record.hpp
@@ -25,6 +25,7 @@
     }
     void open(std::string const& path) {
         file_ = std::fopen(path.c_str(), "w");
+        std::setvbuf(stdout, nullptr, _IOLBF, 0);
         now_ms();
     }
     void line(char const* format, ...) __attribute__((format(printf, 2, 3))) {
