--- a/review/harness/client.hpp
+++ b/review/harness/client.hpp
@@ -151,18 +151,19 @@
 /// The three results of a case.
 enum class verdict : int { held = 0, broken = 1, not_run = 2 };
 
-/// Whether the case plays its disruption: not with TROUBLE=0.
+/// Whether the case plays its disruption, as the last argument of its program says.
+inline bool plays_trouble = true;
 inline bool with_trouble() {
-    auto const* const value = std::getenv("TROUBLE");
-    return value == nullptr || std::string_view{value} != "0";
+    return plays_trouble;
 }
 
-/// Runs a case: REPOSITORY and the folder of the case are the arguments.
+/// Runs a case. The arguments are the repository, the folder of the case, and 0 to leave out the disruption, else 1.
 inline int run_case(int argument_count, char** arguments, std::function<verdict(fleet&)> const& play) {
-    if (argument_count != 3) {
-        std::fprintf(stderr, "usage: %s REPOSITORY FOLDER\n", arguments[0]);
+    if (argument_count != 4) {
+        std::fprintf(stderr, "usage: %s REPOSITORY FOLDER 0|1\n", arguments[0]);
         return static_cast<int>(verdict::not_run);
     }
+    plays_trouble = std::string_view{arguments[3]} != "0";
     std::signal(SIGPIPE, SIG_IGN);
     record::instance().open(std::string{arguments[2]} + "/record.txt");
     say("%s the disruption", with_trouble() ? "with" : "without");
