Keep the examination of a lost target until its waiters are done

Cause: crash_detector::examine kept a reference to a map node, started conclude() with co_spawn and then waited on the timer in that node. co_spawn dispatches, so conclude() runs before co_spawn returns, up to its first suspension. For a target that leaves or is not listed it has none: it took the node out of the map and destroyed it, and examine() waited on freed memory. Only requests with a crash record wait, which is why it takes a crash first and a leaving target after it.

Change: the examination is counted and owned by conclude() and by each request that waits, and conclude() lets the verdict expire at its end, so that a wait that begins afterwards returns at once.

Evidence: forwarding_entry/suspected_requests_learn_the_verdict fails without the change in its first row (no verdict within 1.5 s) and passes with it.

Related paths, read: every other co_spawn of the product. In call_controller, generation_run, http/server, link and configuration_controller nothing is used after the spawn but locals and counted pointers, or it is the last statement. plain_exchange::replace_when_slow and stream_exchange::watch_for_stall suspend on a timer before they change anything; stream_exchange::launch passes its pointer by value and uses nothing afterwards; stream_registry advances its iterator before it notifies a stream. connection::send closes a connection inside the call only for one frame of over 64 MiB, and peer_controller loops over a copy even so. No other reference into a container is kept over a spawn.

--- a/Libraries/forwarding_entry/crash_detector.cpp
+++ b/Libraries/forwarding_entry/crash_detector.cpp
@@ -28,16 +28,19 @@
 
 asio::awaitable<void> crash_detector::examine(std::string target, lost_run run) {
     bool const wait = suspects_.suspects(run.content);
-    auto const [found, inserted] = examinations_.try_emplace(target, context_);
-    auto& examined = found->second;
-    examined.runs.push_back(std::move(run));
+    auto const [found, inserted] = examinations_.try_emplace(target);
     if (inserted)
-        asio::co_spawn(context_, conclude(target), asio::detached);
+        found->second.reset(new examination{context_});
+    // conclude() may run to its end inside co_spawn and remove the entry of the map.
+    auto const examined = found->second;
+    examined->runs.push_back(std::move(run));
+    if (inserted)
+        asio::co_spawn(context_, conclude(target, examined), asio::detached);
     if (wait)
-        co_await examined.verdict.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await examined->verdict.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-asio::awaitable<void> crash_detector::conclude(std::string target) {
+asio::awaitable<void> crash_detector::conclude(std::string target, examination_pointer examined) {
     auto const* view = board_.fleet.find(target);
     // A target that has announced its end closes its connections as planned.
     bool const expected = view == nullptr || view->leaving(base::clock::now());
@@ -46,16 +49,18 @@
     if (!expected) {
         crashed = co_await refuses_connections(lost.address);
         if (!crashed) {
-            examinations_.at(target).verdict.expires_at(base::clock::now());
+            examined->verdict.expires_at(base::clock::now());
             crashed = co_await is_replaced(lost);
         }
     }
-    // The end of the node resumes the requests that wait for the verdict, after the crash is recorded.
-    auto const concluded = examinations_.extract(target);
-    if (!crashed)
-        co_return;
-    for (auto const& run : concluded.mapped().runs)
-        record(target, lost, run);
+    // Requests that are lost from now on are examined anew.
+    examinations_.erase(target);
+    if (crashed) {
+        for (auto const& run : examined->runs)
+            record(target, lost, run);
+    }
+    // Resumes the requests that wait, after the crash is recorded.
+    examined->verdict.expires_at(base::clock::now());
 }
 
 void crash_detector::record(std::string const& target, forwarding::target_record const& lost, lost_run const& run) {
--- a/Libraries/forwarding_entry/crash_detector.h
+++ b/Libraries/forwarding_entry/crash_detector.h
@@ -8,6 +8,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <cstdint>
 #include <map>
@@ -44,15 +46,18 @@
     boost::asio::awaitable<void> examine(std::string target, lost_run run);
 
 private:
-    struct examination {
+    /// The requests that wait for the verdict and the coroutine that finds it share the examination, because either may
+    /// end first.
+    struct examination : public boost::intrusive_ref_counter<examination, boost::thread_unsafe_counter> {
         explicit examination(boost::asio::io_context& context)
             : verdict(context, base::time_point::max()) {}
         std::vector<lost_run> runs;
-        /// Expires when it is known whether the target refuses connections.
+        /// Has expired once it is known whether the target refuses connections.
         boost::asio::steady_timer verdict;
     };
+    using examination_pointer = boost::intrusive_ptr<examination>;
 
-    boost::asio::awaitable<void> conclude(std::string target);
+    boost::asio::awaitable<void> conclude(std::string target, examination_pointer examined);
     void record(std::string const& target, forwarding::target_record const& lost, lost_run const& run);
     boost::asio::awaitable<bool> refuses_connections(std::string address);
     boost::asio::awaitable<bool> is_replaced(forwarding::target_record lost);
@@ -61,7 +66,7 @@
     blackboard const& board_;
     poison_control::poison_controller& suspects_;
     /// By target, so that requests lost together cause one examination.
-    std::map<std::string, examination> examinations_;
+    std::map<std::string, examination_pointer> examinations_;
 };
 
 } // namespace cyclamenledge::forwarding_entry
