Let followers of the seeds count the age of what the seeds know

Cause: a follower took a seed for current as long as it relayed anything, and a seed went on to relay its old revision until it counted the store as lost, 4.2 s after the last answer. A relay said what the seed knew, not how old that was.

Change: each relay carries the age of the store's last confirmation and the sender's clock. store_knowledge counts a state from the time for which it is confirmed: the sending of a call that brought changes, or the end of the wait that one without changes was asked to take, so that a seed that was paused does not take an old answer for a new one. store_relay_table moves the time to the follower's clock by the fastest report of that relay, which makes a report that was held up older. A follower reads the store itself once the state is 1.9 s old. One relay with a recent state is enough, where two were required, since its age is known. The store now holds a watch for 1 s, not 3 s, and the targets' part pauses for 0.5 s after a change, not 1 s.

--- a/Libraries/forwarding/store_relay_table.h
+++ b/Libraries/forwarding/store_relay_table.h
@@ -10,31 +10,39 @@
 
 namespace cyclamenledge::forwarding {
 
+/// What an entry that reads the metadata store tells the entries that follow it.
+struct relay_report {
+    /// The relay has sent every change up to this revision.
+    store_revision as_of;
+    /// The relay's own clock when it sent the report. Clocks of two processes are never compared with each other.
+    base::milliseconds sent_at{0};
+    /// Time from the moment for which the revision was confirmed as the store's newest to the sending of the report.
+    base::milliseconds age{0};
+};
+
+/// The state of the metadata store that the relays together have reported.
+struct relayed_state {
+    store_revision as_of;
+    /// When the revision was the store's newest one, on the clock of this process.
+    base::time_point confirmed_at;
+};
+
 /// Tracks the entries that relay changes of the metadata store to this entry, so that it need not watch the store
 /// itself. In a large deployment, a watch by every process would cost the store one response per process for every
-/// change.
+/// change. A relay that has lost the store goes on reporting, so a report counts by the age of what it says.
 class store_relay_table {
 public:
-    /// Relays send at least every 500 ms. Configurations have to be active within 2.5 s, so a failed relay must be
-    /// detected well before that.
-    static constexpr base::milliseconds relay_timeout{1200};
-    /// A relay that has lost its connection to the store keeps sending until it notices. Two relays rarely lose it at
-    /// the same time.
-    static constexpr std::size_t minimum_relays = 2;
-
-    /// Records that the relay has sent every change up to the revision.
-    void set_relayed_revision(std::string const& relay, store_revision const& as_of, base::time_point now) {
-        relays_[relay] = {as_of, now};
-    }
+    void on_report(std::string const& relay, relay_report const& report, base::time_point now);
     void remove(std::string const& relay) { relays_.erase(relay); }
-    /// Returns the newest revision up to which the relays have sent every change. No value if there are too few live
-    /// relays; the store has to be watched then.
-    std::optional<store_revision> relayed_revision(base::time_point now) const;
+    /// No value without a relay.
+    std::optional<relayed_state> newest() const;
 
 private:
     struct relay_status {
-        store_revision as_of;
-        base::time_point received_at{};
+        relayed_state state;
+        /// Own clock minus the relay's, when a report took least time on its way. A report that is late by comparison
+        /// is older than its age says.
+        base::duration clock_offset{base::duration::max()};
     };
     std::map<std::string, relay_status> relays_;
 };
--- a/Libraries/forwarding_entry/blackboard.h
+++ b/Libraries/forwarding_entry/blackboard.h
@@ -5,8 +5,11 @@
 #include "forwarding/publication_table.h"
 #include "forwarding/request_queue.h"
 #include "forwarding/route_set.h"
+#include "forwarding/store_knowledge.h"
+#include "platform/store_client.h"
 #include "poison_control/poison_controller.h"
 
+#include <array>
 #include <map>
 #include <string>
 #include <utility>
@@ -20,6 +23,8 @@
         , retry_bound(bound) {}
 
     forwarding::publication_table publications;
+    /// Indexed by platform::store_part.
+    std::array<forwarding::store_knowledge, 2> store;
     forwarding::route_set_pointer routes;
     /// Whether the targets were listed at least once, by the store or by a peer.
     bool targets_listed{false};
--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -90,6 +90,7 @@
         {forwarding.deferrable_objective, forwarding.target_pace == settings::pace_use::follow});
     suspects_.start();
     store_.set_relays(peers_.relays());
+    store_.set_observer([this] { peers_.relay_confirmation(); });
     publications_.set_observer([this] { on_targets_change(); });
     permits_.set_observer([this] { placements_.on_capacity_change(); });
     notices_.set_observer([this] {
--- a/Libraries/forwarding_entry/peer_controller.cpp
+++ b/Libraries/forwarding_entry/peer_controller.cpp
@@ -21,8 +21,10 @@
 
 // A configuration has to be active within a few seconds, also at an entry that the store refuses.
 constexpr base::milliseconds request_interval{300};
-// Followers receive a message at least this often, give or take two rounds of the loop, also without a change.
+// Without a change, followers receive a message at most this often.
 constexpr base::milliseconds relay_interval{400};
+// A clock value beyond it is no clock value: it would overflow a time in nanoseconds.
+constexpr std::uint64_t largest_clock_ms = 1'000'000'000'000;
 
 wire::schema::PublicationRecordT encode(publication const& change) {
     wire::schema::PublicationRecordT record;
@@ -85,8 +87,7 @@
         count_entries();
         if (!store_.is_current(now))
             request_changes();
-        if (now - last_relay_at_ >= relay_interval)
-            relay_changes();
+        relay_confirmation();
     }
 }
 
@@ -146,18 +147,31 @@
 
 void peer_controller::send_changes(link::connection& peer, forwarding::store_revision const& after) {
     wire::schema::PublicationsT message;
+    auto const now = base::clock::now();
     message.as_of = store_.confirmed_revision().number;
     message.era = store_.confirmed_revision().era;
+    message.sent_at_ms =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<base::milliseconds>(now.time_since_epoch()).count());
+    message.age_ms = static_cast<std::uint32_t>(
+        std::chrono::ceil<base::milliseconds>(now - store_.confirmed_at().value_or(now)).count());
     for (auto const& change : board_.publications.since(after))
         message.records.push_back(std::make_unique<wire::schema::PublicationRecordT>(encode(change)));
     peer.send(message);
 }
 
+void peer_controller::relay_confirmation() {
+    if (base::clock::now() - last_relay_at_ >= relay_interval && store_.confirmed_at() > relayed_confirmation_)
+        relay_changes();
+}
+
 void peer_controller::relay_changes() {
-    // Followers rely on relayed revisions, so nothing is sent unless the store itself has answered recently.
-    if (followers_.empty() || !store_.store_answers(base::clock::now()))
+    auto const now = base::clock::now();
+    auto const confirmed_at = store_.confirmed_at();
+    // Followers read the store themselves when all that they are told is older.
+    if (followers_.empty() || !confirmed_at || !forwarding::store_knowledge::is_recent(*confirmed_at, now))
         return;
-    last_relay_at_ = base::clock::now();
+    last_relay_at_ = now;
+    relayed_confirmation_ = *confirmed_at;
     // A send can close a connection, which removes its follower from the table, so the loop uses a copy.
     for (auto& [number, follower] : std::map{followers_}) {
         if (auto const kept = followers_.find(number); kept != followers_.end())
@@ -190,7 +204,10 @@
     if (as_of == forwarding::store_revision{})
         return;
     if (uses_relays_)
-        relays_.set_relayed_revision(peer, as_of, base::clock::now());
+        relays_.on_report(peer,
+                          {as_of, base::milliseconds{std::min(message.sent_at_ms, largest_clock_ms)},
+                           base::milliseconds{message.age_ms}},
+                          base::clock::now());
     received_revision_ = std::max(received_revision_, as_of);
     board_.targets_listed = true;
 }
--- a/Libraries/forwarding_entry/peer_controller.h
+++ b/Libraries/forwarding_entry/peer_controller.h
@@ -17,7 +17,8 @@
 namespace cyclamenledge::forwarding_entry {
 
 /// Distributes published documents between entries. The entries that the settings name as peers watch the metadata
-/// store and relay each change to the others; an entry that receives from too few relays watches the store itself. An
+/// store and relay each change to the others, with the age of what they know; an entry whose relays know nothing recent
+/// reads the store itself. An
 /// entry that the store refuses requests the changes that it lacks from its peers.
 class peer_controller : private link::hub_observer {
 public:
@@ -28,6 +29,8 @@
     void start(std::vector<std::string> const& peers, std::string const& own_address);
     /// Sends new changes to the entries that follow this one. Called after each change.
     void relay_changes();
+    /// Tells them that the store has confirmed the known state, unless they were told shortly before.
+    void relay_confirmation();
     forwarding::store_relay_table const& relays() const { return relays_; }
 
 private:
@@ -63,6 +66,8 @@
     };
     std::map<std::uint64_t, follower> followers_;
     base::time_point last_relay_at_{};
+    /// For when the state that was relayed last was confirmed.
+    base::time_point relayed_confirmation_{};
 };
 
 } // namespace cyclamenledge::forwarding_entry
--- a/Libraries/forwarding_entry/store_controller.cpp
+++ b/Libraries/forwarding_entry/store_controller.cpp
@@ -15,21 +15,19 @@
 namespace cyclamenledge::forwarding_entry {
 
 namespace asio = boost::asio;
+using forwarding::store_knowledge;
 
 namespace {
 
 constexpr std::string_view source_name = "store";
-// Longest time for which the store may hold a watch without changes. Each answer shows that the connection works.
-// Configurations have to be active within about three seconds, so an unresponsive connection must be detected by then.
-constexpr base::milliseconds long_poll_wait{3000};
 // Delay before the next watch of a part, indexed by store_part. It batches changes, so that the store answers fewer
 // calls. Leaving targets are noticed in time nevertheless: agents report leaving engines within tens of milliseconds,
 // and targets without an agent drain for seconds.
-constexpr std::array<base::milliseconds, 2> batching_delays{base::milliseconds{200}, base::milliseconds{1000}};
+constexpr std::array<base::milliseconds, 2> batching_delays{base::milliseconds{200}, base::milliseconds{500}};
 // Time beyond the wait of a watch after which the store counts as unresponsive.
 constexpr base::milliseconds answer_margin{1200};
 constexpr base::milliseconds list_timeout{2000};
-// An entry whose relays are no longer current reads the store again within this time.
+// How often an entry that follows relays looks at what they have reported.
 constexpr base::milliseconds relay_check_interval{200};
 constexpr base::milliseconds initial_backoff{120};
 constexpr base::milliseconds maximum_backoff{900};
@@ -60,9 +58,8 @@
 
 bool store_controller::is_current(base::time_point now) const {
     return std::ranges::all_of(parts_, [&](part_state const& state) {
-        if (!state.last_answer)
-            return false;
-        return state.failures == 0 || now - *state.last_answer < outdated_after;
+        auto const& confirmed_at = knowledge_of(state).confirmed_at();
+        return confirmed_at && (state.failures == 0 || now - *confirmed_at < outdated_after);
     });
 }
 
@@ -71,6 +68,12 @@
     return oldest.as_of.value_or(forwarding::store_revision{});
 }
 
+std::optional<base::time_point> store_controller::confirmed_at() const {
+    auto const& oldest = *std::ranges::min_element(
+        parts_, {}, [this](part_state const& state) { return knowledge_of(state).confirmed_at(); });
+    return knowledge_of(oldest).confirmed_at();
+}
+
 std::uint64_t store_controller::calls() const {
     std::uint64_t total = 0;
     for (auto const& state : parts_)
@@ -81,8 +84,8 @@
 asio::awaitable<void> store_controller::follow_part(part_state& state) {
     asio::steady_timer timer{context_};
     while (true) {
-        if (advance_from_relays(state)) {
-            timer.expires_after(relay_check_interval);
+        if (auto const recent_until = advance_from_relays(state)) {
+            timer.expires_at(std::min(*recent_until, base::clock::now() + relay_check_interval));
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
         }
@@ -90,7 +93,7 @@
         if (outcome) {
             on_answer(state);
             if (state.as_of && state.had_changes) {
-                timer.expires_after(batching_delays.at(static_cast<std::size_t>(state.part)));
+                timer.expires_after(batching_delays.at(state.index()));
                 co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
             }
             continue;
@@ -104,23 +107,17 @@
     }
 }
 
-bool store_controller::advance_from_relays(part_state& state) {
-    auto const now = base::clock::now();
-    auto const relayed = relays_ != nullptr && state.as_of ? relays_->relayed_revision(now) : std::nullopt;
+std::optional<base::time_point> store_controller::advance_from_relays(part_state& state) {
+    auto const relayed = relays_ != nullptr && state.as_of ? relays_->newest() : std::nullopt;
     if (!relayed)
-        return false;
+        return std::nullopt;
+    knowledge_of(state).confirm(relayed->confirmed_at);
+    state.as_of = std::max(*state.as_of, relayed->as_of);
+    if (!store_knowledge::is_recent(relayed->confirmed_at, base::clock::now()))
+        return std::nullopt;
     state.client.close();
-    state.as_of = std::max(*state.as_of, *relayed);
-    state.last_answer = now;
     state.failures = 0;
-    return true;
-}
-
-bool store_controller::store_answers(base::time_point now) const {
-    return std::ranges::all_of(parts_, [&](part_state const& state) {
-        return state.failures == 0 && state.last_store_answer &&
-               now - *state.last_store_answer < long_poll_wait + answer_margin;
-    });
+    return relayed->confirmed_at + store_knowledge::maximum_relayed_age;
 }
 
 http::awaitable_result<void> store_controller::read_once(part_state& state) {
@@ -130,11 +127,12 @@
 }
 
 http::awaitable_result<void> store_controller::list(part_state& state) {
+    auto const sent_at = base::clock::now();
     BOOST_OUTCOME_CO_TRY(auto listing, co_await state.client.list(list_timeout));
     state.as_of = listing.as_of;
-    auto const now = base::clock::now();
-    publications_.set_removals_unconfirmed(state.last_failure &&
-                                           now - *state.last_failure < removals_unconfirmed_after_failure);
+    knowledge_of(state).confirm(sent_at);
+    publications_.set_removals_unconfirmed(state.last_failure && base::clock::now() - *state.last_failure <
+                                                                     removals_unconfirmed_after_failure);
     publications_.reconcile(std::move(listing), source_name);
     if (state.part == platform::store_part::targets)
         board_.targets_listed = true;
@@ -142,8 +140,9 @@
 }
 
 http::awaitable_result<void> store_controller::watch(part_state& state) {
-    BOOST_OUTCOME_CO_TRY(auto changes,
-                         co_await state.client.watch(*state.as_of, long_poll_wait, long_poll_wait + answer_margin));
+    auto const sent_at = base::clock::now();
+    auto const wait = knowledge_of(state).watch_wait(sent_at);
+    BOOST_OUTCOME_CO_TRY(auto changes, co_await state.client.watch(*state.as_of, wait, wait + answer_margin));
     if (changes.history_lost) {
         bool const restored = changes.as_of.era != state.as_of->era;
         log::write(
@@ -153,22 +152,22 @@
         co_return base::success();
     }
     state.as_of = changes.as_of;
-    auto const now = base::clock::now();
-    publications_.set_removals_unconfirmed(state.last_failure &&
-                                           now - *state.last_failure < removals_unconfirmed_after_failure);
     state.had_changes = !changes.items.empty();
+    knowledge_of(state).confirm(state.had_changes ? sent_at
+                                                  : store_knowledge::unchanged_at(sent_at, wait, base::clock::now()));
+    publications_.set_removals_unconfirmed(state.last_failure && base::clock::now() - *state.last_failure <
+                                                                     removals_unconfirmed_after_failure);
     publications_.apply(std::move(changes.items), source_name);
     co_return base::success();
 }
 
 void store_controller::on_failure(part_state& state, base::error const& failure) {
-    auto const now = base::clock::now();
     state.client.close();
     if (state.failures++ == 0)
         log::write(log::event_kind::store_lost, {{"part", static_cast<int>(state.part)},
                                                  {"reason", failure.message},
                                                  {"revision", number_of(state.as_of)}});
-    state.last_failure = now;
+    state.last_failure = base::clock::now();
 }
 
 void store_controller::on_answer(part_state& state) {
@@ -177,8 +176,8 @@
                                                      {"failures", state.failures},
                                                      {"revision", number_of(state.as_of)}});
     state.failures = 0;
-    state.last_answer = base::clock::now();
-    state.last_store_answer = state.last_answer;
+    if (on_answer_)
+        on_answer_();
 }
 
 } // namespace cyclamenledge::forwarding_entry
--- a/Libraries/forwarding_entry/store_controller.h
+++ b/Libraries/forwarding_entry/store_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/random.h"
+#include "forwarding/store_knowledge.h"
 #include "forwarding/store_relay_table.h"
 #include "forwarding_entry/blackboard.h"
 #include "forwarding_entry/publication_controller.h"
@@ -10,7 +11,9 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <array>
+#include <functional>
 #include <optional>
+#include <utility>
 
 namespace cyclamenledge::forwarding_entry {
 
@@ -21,14 +24,16 @@
                      publication_controller& publications);
 
     void start();
-    /// Sets the table of store relays. While enough of them are current, this entry does not read the store.
+    /// Sets the table of store relays. While what they report is recent, this entry does not read the store.
     void set_relays(forwarding::store_relay_table const& relays) { relays_ = &relays; }
+    /// The observer is called after each answer of the store.
+    void set_observer(std::function<void()> on_answer) { on_answer_ = std::move(on_answer); }
     /// Whether every part was read and none has failed for long. Otherwise peers are asked for changes.
     bool is_current(base::time_point now) const;
-    /// Whether the store itself has answered recently for every part, so that this process may relay changes.
-    bool store_answers(base::time_point now) const;
     /// The revision up to which all changes were received. Zero before all parts were listed.
     forwarding::store_revision confirmed_revision() const;
+    /// When that revision was the store's newest one. No value before all parts were listed.
+    std::optional<base::time_point> confirmed_at() const;
     std::uint64_t calls() const;
 
 private:
@@ -38,6 +43,8 @@
             : part(which)
             , client(std::move(executor), std::move(endpoint), which) {}
 
+        std::size_t index() const { return static_cast<std::size_t>(part); }
+
         platform::store_part part;
         platform::store_client client;
         /// The revision up to which the part was read. No value until the part is listed.
@@ -45,16 +52,17 @@
         /// Whether the last watch returned changes.
         bool had_changes{false};
         std::uint32_t failures{0};
-        std::optional<base::time_point> last_answer;
-        /// The last answer of the store itself; last_answer also counts relayed revisions.
-        std::optional<base::time_point> last_store_answer;
         std::optional<base::time_point> last_failure;
     };
 
     boost::asio::awaitable<void> follow_part(part_state& state);
-    /// Advances the part to the relayed revision. Returns false when too few relays are current and the part must be
-    /// read from the store.
-    bool advance_from_relays(part_state& state);
+    /// Advances the part to the relayed revision. Returns until when that is recent. No value when it is not, so that
+    /// the part must be read from the store.
+    std::optional<base::time_point> advance_from_relays(part_state& state);
+    forwarding::store_knowledge& knowledge_of(part_state const& state) { return board_.store.at(state.index()); }
+    forwarding::store_knowledge const& knowledge_of(part_state const& state) const {
+        return board_.store.at(state.index());
+    }
     http::awaitable_result<void> read_once(part_state& state);
     http::awaitable_result<void> list(part_state& state);
     http::awaitable_result<void> watch(part_state& state);
@@ -65,6 +73,7 @@
     blackboard& board_;
     publication_controller& publications_;
     forwarding::store_relay_table const* relays_{nullptr};
+    std::function<void()> on_answer_;
     base::random_source random_;
     std::array<part_state, 2> parts_;
 };
