Doubt removals only after an outage that can expire announcements

Cause: a failed call set a flag that made removals unconfirmed for 2.5 s, and only an own read cleared it. An entry that went back to follow the seeds read no more, so that every later removal stayed in doubt and the runner in use for 2.2 s more. The same flag followed the cut of a single waiting watch, which expires no announcement, at every entry.

Change: the flag is gone. store_knowledge answers from the times for which the store's state is confirmed: a removal is in doubt while or within 2.5 s after the state was not confirmed for 2.4 s, which is two of the three intervals after which an announcement expires. It holds for relayed states as well, whatever role the entry has.

Looked for the same kind of state, set by a failure and cleared by an event that a change of role takes away: store_controller's failure counts are cleared by both roles; none other was found in peer_controller and publication_controller.

--- a/Libraries/forwarding/store_knowledge.h
+++ b/Libraries/forwarding/store_knowledge.h
@@ -18,6 +18,12 @@
     /// confirmed this often, so the time that the followers allow must be well above it.
     static constexpr base::milliseconds watch_period{1000};
     static constexpr base::milliseconds shortest_watch{50};
+    /// Targets announce themselves every 1.2 s, and the store removes an announcement after three intervals. Without
+    /// one that arrived shortly before, it takes two intervals of an outage.
+    static constexpr base::milliseconds shortest_expiry{2400};
+    /// Targets whose announcements expired during an outage announce themselves again within about two seconds of its
+    /// end.
+    static constexpr base::milliseconds announcement_return{2500};
 
     /// The known state was the store's newest one at the given time. Has no effect if a later time is confirmed.
     void confirm(base::time_point at);
@@ -29,6 +35,9 @@
     }
     /// Time for which the next watch may wait for changes.
     base::milliseconds watch_wait(base::time_point now) const;
+    /// Whether a removal that is learnt now may be that of a running target, whose announcement expired while the store
+    /// was unreachable.
+    bool removals_in_doubt(base::time_point now) const;
 
     /// When a watch without changes confirms the state: the store answered it after the wait, and the answer may have
     /// been under way for any time since.
@@ -37,7 +46,8 @@
 
 private:
     std::optional<base::time_point> confirmed_at_;
-};
+    /// After the end of the latest outage that may have expired announcements.
+    base::time_point doubt_until_{};
 };
 
 } // namespace cyclamenledge::forwarding
--- a/Libraries/forwarding_entry/blackboard.h
+++ b/Libraries/forwarding_entry/blackboard.h
@@ -35,6 +35,9 @@
     std::map<std::string, forwarding::local_retry_budget, std::less<>> retry_budgets;
     poison_control::guarded_suspects suspects;
 
+    forwarding::store_knowledge const& announcements() const {
+        return store.at(static_cast<std::size_t>(platform::store_part::targets));
+    }
     forwarding::local_retry_budget& retry_budget(std::string const& service) {
         return retry_budgets.try_emplace(service, retry_bound, started_at).first->second;
     }
--- a/Libraries/forwarding_entry/publication_controller.cpp
+++ b/Libraries/forwarding_entry/publication_controller.cpp
@@ -149,7 +149,7 @@
     auto const revision = change.content.revision.number;
     doubtful_targets_.erase(name);
     if (change.content.removed) {
-        bool const unconfirmed = removals_unconfirmed_ || change.after_restore;
+        bool const unconfirmed = board_.announcements().removals_in_doubt(now) || change.after_restore;
         board_.fleet.remove_target(name, unconfirmed, now);
         log::write(
             log::event_kind::target_removed,
--- a/Libraries/forwarding_entry/publication_controller.h
+++ b/Libraries/forwarding_entry/publication_controller.h
@@ -21,10 +21,6 @@
     /// The observer is called after each batch with changes.
     void set_observer(std::function<void()> on_change) { on_change_ = std::move(on_change); }
 
-    /// While set, removals of targets are not confirmed: the store was unreachable recently, so that the announcement
-    /// of a running target may have expired.
-    void set_removals_unconfirmed(bool unconfirmed) { removals_unconfirmed_ = unconfirmed; }
-
     void apply(std::vector<forwarding::publication> changes, std::string_view source);
     void reconcile(forwarding::publication_listing listing, std::string_view source);
     /// Returns failure domains whose evacuation the store has lost and the operator has not written again in time, and
@@ -53,7 +49,6 @@
 
     blackboard& board_;
     std::function<void()> on_change_;
-    bool removals_unconfirmed_{false};
     /// When an evacuation ends that the store has lost.
     std::map<std::string, base::time_point> lost_evacuations_;
     /// When a target is used again that was removed before the store came back from a copy that lists it.
--- a/Libraries/forwarding_entry/store_controller.cpp
+++ b/Libraries/forwarding_entry/store_controller.cpp
@@ -33,8 +33,6 @@
 constexpr base::milliseconds maximum_backoff{900};
 // After failures for this long, peers are assumed to be more current than this process.
 constexpr base::milliseconds outdated_after{700};
-// Targets whose announcements expired during an outage announce themselves again within about two seconds of its end.
-constexpr base::milliseconds removals_unconfirmed_after_failure{2500};
 
 std::uint64_t number_of(std::optional<forwarding::store_revision> const& revision) {
     return revision ? revision->number : 0;
@@ -131,8 +129,6 @@
     BOOST_OUTCOME_CO_TRY(auto listing, co_await state.client.list(list_timeout));
     state.as_of = listing.as_of;
     knowledge_of(state).confirm(sent_at);
-    publications_.set_removals_unconfirmed(state.last_failure && base::clock::now() - *state.last_failure <
-                                                                     removals_unconfirmed_after_failure);
     publications_.reconcile(std::move(listing), source_name);
     if (state.part == platform::store_part::targets)
         board_.targets_listed = true;
@@ -155,8 +151,6 @@
     state.had_changes = !changes.items.empty();
     knowledge_of(state).confirm(state.had_changes ? sent_at
                                                   : store_knowledge::unchanged_at(sent_at, wait, base::clock::now()));
-    publications_.set_removals_unconfirmed(state.last_failure && base::clock::now() - *state.last_failure <
-                                                                     removals_unconfirmed_after_failure);
     publications_.apply(std::move(changes.items), source_name);
     co_return base::success();
 }
@@ -167,7 +161,6 @@
         log::write(log::event_kind::store_lost, {{"part", static_cast<int>(state.part)},
                                                  {"reason", failure.message},
                                                  {"revision", number_of(state.as_of)}});
-    state.last_failure = base::clock::now();
 }
 
 void store_controller::on_answer(part_state& state) {
--- a/Libraries/forwarding_entry/store_controller.h
+++ b/Libraries/forwarding_entry/store_controller.h
@@ -52,7 +52,6 @@
         /// Whether the last watch returned changes.
         bool had_changes{false};
         std::uint32_t failures{0};
-        std::optional<base::time_point> last_failure;
     };
 
     boost::asio::awaitable<void> follow_part(part_state& state);
--- a/Tests/forwarding/store_following_test.cpp
+++ b/Tests/forwarding/store_following_test.cpp
@@ -244,6 +244,7 @@
     CPPUNIT_TEST_SUITE(store_following_test);
     CPPUNIT_TEST(followers_learn_of_changes_in_time);
     CPPUNIT_TEST(followers_read_the_store_only_without_relays);
+    CPPUNIT_TEST(removals_are_in_doubt_only_after_an_outage);
     CPPUNIT_TEST(late_reports_are_older_than_they_say);
     CPPUNIT_TEST_SUITE_END();
 
@@ -281,6 +282,44 @@
         });
     }
 
+    /// Guards against a removed target that stays in use because a call failed some time ago, or because a watch was
+    /// cut, and against a running target that is given up because its announcement expired in an outage.
+    void removals_are_in_doubt_only_after_an_outage() {
+        using enum fault_kind;
+        for_each_row(following_cases(), [](following_case const& tested) {
+            following_model played{tested, {}};
+            for (auto end = fault_begin; end < fault_begin + 15s; end += step) {
+                played.advance_to(end);
+                CPPUNIT_ASSERT(!played.follower().knowledge.removals_in_doubt(at(end)));
+            }
+        });
+        struct row {
+            char const* name;
+            fault_kind kind;
+            milliseconds length;
+            bool doubtful;
+        };
+        std::vector<row> const table{
+            {"store silent", store_silent, 4500ms, true},
+            {"store refuses", store_refuses, 4500ms, true},
+            {"store refuses shortly", store_refuses, 400ms, false},
+        };
+        for_each_row(table, [](row const& tested) {
+            fault const outage{tested.kind, tested.length};
+            following_case const world{tested.name, {outage, outage, outage}, outage, true};
+            following_model played{world, {}};
+            auto const over = fault_begin + tested.length;
+            played.advance_to(over + 1500ms);
+            CPPUNIT_ASSERT_EQUAL(tested.doubtful, played.follower().knowledge.removals_in_doubt(at(played.now())));
+            CPPUNIT_ASSERT_EQUAL(tested.doubtful, played.seed(0).knowledge.removals_in_doubt(at(played.now())));
+            // Targets that run have announced themselves again, and the state was confirmed at most one call later.
+            played.advance_to(over + answer_margin + store_knowledge::watch_period +
+                              store_knowledge::announcement_return + 500ms);
+            CPPUNIT_ASSERT(!played.follower().knowledge.removals_in_doubt(at(played.now())));
+            CPPUNIT_ASSERT(!played.seed(0).knowledge.removals_in_doubt(at(played.now())));
+        });
+    }
+
     /// Guards against an old state that counts as new because its report was held up on the way.
     void late_reports_are_older_than_they_say() {
         store_relay_table relays;
--- a/Tests/process/store_relays/store_relays_test.cpp
+++ b/Tests/process/store_relays/store_relays_test.cpp
@@ -22,7 +22,7 @@
 // Until every entry follows the seeds.
 constexpr auto settling_time = 3s;
 
-enum class store_fault : std::uint8_t { seeds_silent, seeds_closed };
+enum class store_fault : std::uint8_t { none, seeds_silent, seeds_closed, outage, watches_cut };
 
 } // namespace
 
@@ -30,6 +30,7 @@
 class store_relays_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(store_relays_test);
     CPPUNIT_TEST(follower_applies_configurations_in_time);
+    CPPUNIT_TEST(removed_targets_are_left_in_time);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -65,6 +66,45 @@
         });
     }
 
+    /// The target goes on serving, so that only what entries know keeps requests away from it.
+    void removed_targets_are_left_in_time() {
+        struct row {
+            char const* name;
+            store_fault fault;
+            std::chrono::milliseconds length;
+            /// From the end of the fault to the removal.
+            std::chrono::milliseconds removed_after;
+        };
+        std::vector<row> const table{
+            {"no fault", store_fault::none, 0ms, 500ms},
+            {"long after an outage of the store", store_fault::outage, 4500ms, 7s},
+            {"shortly after all watches were cut", store_fault::watches_cut, 0ms, 700ms},
+        };
+        platform_world world{size()};
+        std::size_t leaver = 2;
+        for_each_row(table, [&](row const& tested) {
+            std::this_thread::sleep_for(settling_time);
+            begin(world, tested.fault);
+            std::this_thread::sleep_for(tested.length);
+            end(world, tested.fault);
+            std::this_thread::sleep_for(tested.removed_after);
+            // The entries that read the store wait before they read the next changes.
+            world.act([&] { world.fleet().announce(*world.fleet().targets().front()); });
+            std::this_thread::sleep_for(100ms);
+            auto& site = *world.fleet().targets().at(leaver++);
+            world.act([&] {
+                world.fleet().withdraw(site);
+                world.ledger().close_target(site.target->id(), base::clock::now());
+            });
+            for (auto const until = base::clock::now() + 3500ms; base::clock::now() < until;) {
+                for (std::size_t entry = 0; entry < entry_count; ++entry)
+                    CPPUNIT_ASSERT_EQUAL(200U, call(world, entry, "/read/10"));
+            }
+            auto const violations = world.act([&] { return world.ledger().violations(); });
+            CPPUNIT_ASSERT_EQUAL(std::string{}, violations.empty() ? "" : violations.front());
+        });
+    }
+
 private:
     static soak::fleet_size size() {
         return {.entries = entry_count, .engines = 2, .services = 4, .seeds = seed_count};
@@ -87,11 +127,19 @@
                 set_proxies(world, soak::proxy_mode::silence);
             else if (fault == seeds_closed)
                 set_proxies(world, soak::proxy_mode::close);
+            else if (fault == outage)
+                world.fleet().store().set_mode(platform::standin::store_mode::refusing);
+            else if (fault == watches_cut)
+                for (auto const& entry : world.fleet().entries())
+                    entry->store_proxy->reset_connections();
         });
     }
 
     static void end(platform_world& world, store_fault) {
-        world.act([&] { set_proxies(world, soak::proxy_mode::pass); });
+        world.act([&] {
+            set_proxies(world, soak::proxy_mode::pass);
+            world.fleet().store().set_mode(platform::standin::store_mode::serving);
+        });
     }
 };
 
