Let a later answer prove that it goes on with a stream

Callers whose stream broke off found the next target's bytes in the middle of it, up to the whole head of an answer, or a proper end where events were missing (rules ORDER and MIXED), if that target answered with a stamped 200 that did not go on: a text that ends in an empty line, or nothing.

Cause: a run that was started after the first event was the active one from its start, so that an event without an id passed, and its end was taken for the end of the stream. Answers with another 2xx than 200 passed without a look at their stamp.

Change: such a run is a successor, as one from a copy is. It becomes the active run with an event at the right position; an event without an id or too far on ends it, and without an event it ends no stream. Its media type has to be that of the first answer. A stream is not taken up after an event without an id, because its position is unknown then. Every 2xx needs its stamp.

A target that breaks off after the last event and before the end of its answer now leaves the caller with a broken connection, where an empty answer of the next target ended the stream: the two cannot be told apart.

Evidence: process_stream_recovery/answers_that_do_not_go_on_end_no_stream fails without the change in its first row (status 200) and passes with it; forwarding/later_runs_show_that_they_go_on has the decision. The stamp of other 2xx answers has no test of its own.

--- a/Libraries/forwarding/stream_relay.cpp
+++ b/Libraries/forwarding/stream_relay.cpp
@@ -5,6 +5,10 @@
 namespace cyclamenledge::forwarding {
 
 run_number stream_relay::start_run() {
+    if (passed_any_) {
+        active_ = no_run;
+        return start_successor();
+    }
     active_ = next_++;
     successor_ = no_run;
     return active_;
@@ -20,7 +24,7 @@
         return event_verdict::drop;
     // The position of a successor's event in the stream is unknown without an id.
     if (!id && run == successor_)
-        return event_verdict::drop;
+        return event_verdict::gap;
     if (id && last_event_ && *id > *last_event_ + 1)
         return event_verdict::gap;
     // The successor takes over with its first event. Waiting until it is ahead would take forever, because both runs
@@ -31,6 +35,7 @@
         return event_verdict::drop;
     if (id)
         last_event_ = id;
+    position_known_ = id.has_value();
     passed_any_ = true;
     return event_verdict::pass_on;
 }
@@ -39,9 +44,10 @@
     if (run == successor_) {
         successor_ = no_run;
         // The end of a successor that has not taken over does not end the stream while another run is active.
-        if (complete && active_ == no_run)
-            return end_verdict::complete;
-        return active_ == no_run ? end_verdict::recover : end_verdict::keep_open;
+        if (active_ != no_run)
+            return end_verdict::keep_open;
+        // Without an event of its own, it says nothing about the end of a stream that others have begun.
+        return complete && !passed_any_ ? end_verdict::complete : end_verdict::recover;
     }
     if (run != active_)
         return active_ == no_run && successor_ == no_run ? end_verdict::recover : end_verdict::keep_open;
--- a/Libraries/forwarding/stream_relay.h
+++ b/Libraries/forwarding/stream_relay.h
@@ -29,7 +29,9 @@
 };
 
 /// Merges the runs of one streamed request so that the caller receives each event once and in order. A run that
-/// continues from a copy of another run's memory is its successor; it becomes the active run with its first event.
+/// continues from a copy of another run's memory is its successor; it becomes the active run with its first event. So is
+/// a run that is started after the first event was passed on: only an event at the right position shows that its
+/// target's answer goes on with the stream.
 class stream_relay {
 public:
     /// Starts the first run of the request, or one that replaces a failed run.
@@ -45,6 +47,8 @@
     /// Id of the last event that was passed on.
     std::optional<std::uint64_t> last_event() const { return last_event_; }
     bool passed_any() const { return passed_any_; }
+    /// Whether another run can go on after what was passed on. It cannot after an event without an id.
+    bool can_go_on() const { return !passed_any_ || position_known_; }
 
 private:
     run_number next_{1};
@@ -52,6 +56,8 @@
     run_number successor_{no_run};
     std::optional<std::uint64_t> last_event_;
     bool passed_any_{false};
+    /// Whether the last event that was passed on has an id.
+    bool position_known_{false};
 };
 
 } // namespace cyclamenledge::forwarding
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include <algorithm>
 #include <tuple>
@@ -71,6 +72,19 @@
     return source.resumptions < forwarding::maximum_resumptions_per_run;
 }
 
+bool is_success(http::response_head const& head) {
+    return head.result_int() >= 200 && head.result_int() < 300;
+}
+
+std::string_view media_type(http::response_head const& head) {
+    std::string_view const text = http::header_value(head, "Content-Type");
+    return text.substr(0, text.find_first_of("; \t"));
+}
+
+bool same_media_type(http::response_head const& first, http::response_head const& second) {
+    return boost::beast::iequals(media_type(first), media_type(second));
+}
+
 std::string describe_endless(stream_run const& run) {
     return "no end of an event in " + std::to_string(run.splitter.unfinished().size()) + " bytes";
 }
@@ -373,8 +387,12 @@
     parts_.permits.on_answer(current->target, request_.caller.id, facts);
     current->stated_pace =
         apply_stated_load(parts_, request_.service, {current->target, current->target_started_at}, facts);
-    bool const success = head.result_int() == 200;
-    if (!success) {
+    bool const genuine = facts.stamped && !facts.encoded && !facts.request_id.empty();
+    if (is_success(head) && !genuine) {
+        connection->close();
+        co_return send_result{send_outcome::unknown, "an answer that is not the target's", {}};
+    }
+    if (head.result_int() != 200) {
         auto body = co_await connection->read_whole_body(maximum_refusal_bytes, request_.time_left(base::clock::now()),
                                                          &current->answer_memory);
         if (!body) {
@@ -388,9 +406,9 @@
         co_return send_result{facts.not_run ? send_outcome::not_run : send_outcome::answered, std::move(reason),
                               make_caller_answer(head, std::move(body).value())};
     }
-    if (!facts.stamped || facts.encoded || facts.request_id.empty()) {
+    if (relay_.passed_any() && !same_media_type(*head_, head)) {
         connection->close();
-        co_return send_result{send_outcome::unknown, "an answer that is not the target's", {}};
+        co_return send_result{send_outcome::unknown, "an answer of another media type", {}};
     }
     if (!head_)
         head_ = make_caller_head(head);
@@ -419,6 +437,10 @@
         connection->close();
         co_return send_result{send_outcome::unknown, "the stream ended inside an event", {}};
     }
+    if (relay_.passed_any() && current->number != relay_.active()) {
+        connection->close();
+        co_return send_result{send_outcome::unknown, "an answer without an event of the stream", {}};
+    }
     if (current->number == relay_.active())
         pending_output_ += current->splitter.unfinished();
     parts_.connections.release(current->address, connection, facts.idle_timeout);
@@ -527,6 +549,12 @@
 }
 
 void stream_exchange::recover(stream_run& ended, send_result result) {
+    if (!relay_.can_go_on()) {
+        fail(
+            base::make_error(base::error_kind::generation_lost, "the stream cannot go on after an event without an id"),
+            result.reason);
+        return;
+    }
     bool const refused = learn_refusal();
     if (!refused && result.may_have_run() && resume_from_backup(ended))
         return;
@@ -715,7 +743,7 @@
 std::optional<stream_exchange::resumable_copy> stream_exchange::consume_backup(stream_run& run) {
     // The memory is copied while the run generates, so without an event there may be no copy, and a target that does
     // not check for it would run the request again.
-    if (!run.received_event || !may_resume(run))
+    if (!run.received_event || !may_resume(run) || !relay_.can_go_on())
         return std::nullopt;
     if (!parts_.board.fleet.may_receive(run.backup_target, base::clock::now()))
         return std::nullopt;
@@ -761,7 +789,7 @@
 }
 
 void stream_exchange::on_fleet_change() {
-    if (moving_ || phase_ != phase::running || caller_left_)
+    if (moving_ || phase_ != phase::running || caller_left_ || !relay_.can_go_on())
         return;
     auto const active = find_run(relay_.active());
     if (!active || !active->sent || !may_resume(*active))
--- a/Tests/forwarding/stream_test.cpp
+++ b/Tests/forwarding/stream_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST_SUITE(stream_test);
     CPPUNIT_TEST(events_reach_the_caller_once_and_in_order);
     CPPUNIT_TEST(successors_take_over);
+    CPPUNIT_TEST(later_runs_show_that_they_go_on);
     CPPUNIT_TEST(ends);
     CPPUNIT_TEST(events_are_split_the_same_for_any_buffer_sizes);
     CPPUNIT_TEST(comments_and_blank_lines_are_no_events);
@@ -111,6 +112,47 @@
         CPPUNIT_ASSERT(relay.on_event(second, 5) == event_verdict::gap);
     }
 
+    // Guards against the answer of another target that does not belong to the stream and is passed on in the middle of
+    // it, or ends it as if it were complete.
+    void later_runs_show_that_they_go_on() {
+        struct row {
+            char const* name;
+            /// Ids of the events of the run that broke off.
+            std::vector<std::optional<std::uint64_t>> passed;
+            std::vector<std::optional<std::uint64_t>> events;
+            event_verdict last_verdict;
+            end_verdict at_complete_end;
+            bool can_go_on;
+        };
+        using enum event_verdict;
+        std::vector<row> const table{
+            {"nothing was passed on", {}, {1}, pass_on, end_verdict::complete, true},
+            {"nothing was passed on, no id", {}, {std::nullopt}, pass_on, end_verdict::complete, false},
+            {"nothing was passed on, no event", {}, {}, drop, end_verdict::complete, true},
+            {"next event", {1, 2}, {3}, pass_on, end_verdict::complete, true},
+            {"known event", {1, 2}, {2}, drop, end_verdict::complete, true},
+            {"event without an id", {1, 2}, {std::nullopt}, gap, end_verdict::recover, true},
+            {"event too far on", {1, 2}, {4}, gap, end_verdict::recover, true},
+            {"no event", {1, 2}, {}, drop, end_verdict::recover, true},
+            {"event without an id after the next one", {1, 2}, {3, std::nullopt}, pass_on, end_verdict::complete, false},
+            {"unknown position", {1, std::nullopt}, {}, drop, end_verdict::recover, false},
+        };
+        for_each_row(table, [](row const& tested) {
+            stream_relay relay;
+            auto const first = relay.start_run();
+            for (auto const& id : tested.passed)
+                CPPUNIT_ASSERT(relay.on_event(first, id) == pass_on);
+            CPPUNIT_ASSERT(relay.on_end(first, false) == end_verdict::recover);
+            auto const second = relay.start_run();
+            auto verdict = drop;
+            for (auto const& id : tested.events)
+                verdict = relay.on_event(second, id);
+            CPPUNIT_ASSERT(tested.last_verdict == verdict);
+            CPPUNIT_ASSERT(tested.at_complete_end == relay.on_end(second, true));
+            CPPUNIT_ASSERT_EQUAL(tested.can_go_on, relay.can_go_on());
+        });
+    }
+
     // Guards against a stream that is ended, or kept open, because of the wrong run.
     void ends() {
         enum class who : std::uint8_t { active, successor };
--- a/Tests/process/stream_recovery/stream_recovery_test.cpp
+++ b/Tests/process/stream_recovery/stream_recovery_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(stream_of_a_leaving_engine_sends_few_resumptions);
     CPPUNIT_TEST(stream_without_a_successor_waits_for_its_target);
     CPPUNIT_TEST(stalled_stream_that_sends_bytes_goes_on_elsewhere);
+    CPPUNIT_TEST(answers_that_do_not_go_on_end_no_stream);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,6 +56,45 @@
         });
     }
 
+    // Guards against bytes of another answer in the middle of a stream, and against a stream that ends as if it were
+    // complete, when its target breaks off and the next one answers with a success that does not go on with it.
+    void answers_that_do_not_go_on_end_no_stream() {
+        struct row {
+            char const* name;
+            std::string_view continuation;
+        };
+        std::vector<row> const table{
+            {"error text", "the engine is not well\n\n"},
+            {"error text without an empty line", "the engine is not well"},
+            {"JSON", "{\"error\":\"not well\"}\n\n"},
+            {"whole head of an answer", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno"},
+            {"nothing", ""},
+            {"comment", ": not well\n\n"},
+            {"event that is too far on", "id: 9\ndata: x\n\n"},
+        };
+        platform_world world{{.entries = 1, .engines = 3, .services = 1}};
+        // Retries are a share of the requests.
+        for (int number = 0; number < 80; ++number)
+            world.call({"sound-" + std::to_string(number), "/resume/1", 10, {}, 0, true});
+        for_each_row(table, [&](row const& tested) {
+            world.act([&] {
+                for (auto const& site : world.fleet().targets())
+                    site->target->set_faults({.broken_off = 1, .continuation = tested.continuation});
+            });
+            auto const request = std::string{"broken-off-"} + tested.name;
+            auto const answer = world.call({request, "/resume/20", 200, {}, 0, true});
+            auto const runs = world.act([&] { return world.ledger().find(request)->runs; });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("the stream was not taken up", 2U, runs);
+            CPPUNIT_ASSERT_EQUAL(0U, answer.status);
+            CPPUNIT_ASSERT(answer.partial_body.starts_with("id: 1\n"));
+            CPPUNIT_ASSERT(answer.partial_body.ends_with("\n\n"));
+            CPPUNIT_ASSERT(answer.partial_body.find("id: 2\n") != std::string::npos);
+            CPPUNIT_ASSERT(answer.partial_body.find("not well") == std::string::npos);
+            CPPUNIT_ASSERT(answer.partial_body.find("HTTP/1.1") == std::string::npos);
+            CPPUNIT_ASSERT(answer.partial_body.find("id: 9\n") == std::string::npos);
+        });
+    }
+
     // Guards against resumptions beyond the retry budget: a stream whose copies are refused tried one after the other.
     void stream_of_a_leaving_engine_sends_few_resumptions() {
         platform_world world{{.entries = 1, .engines = 6, .services = 1}};
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -367,6 +367,14 @@
     }
     bool sound =
         incarnation == incarnation_ && *open && static_cast<bool>(co_await client->start_stream(std::move(head)));
+    if (faults_.continuation && first > 1) {
+        if (sound && !faults_.continuation->empty())
+            std::ignore = co_await client->send_chunk(std::string{*faults_.continuation});
+        runs_.erase(request);
+        std::ignore = co_await client->finish_stream();
+        co_return;
+    }
+    bool const broken_off = first == 1 && happens(faults_.broken_off);
     bool const stalled = happens(faults_.stalled);
     bool const paused = happens(faults_.paused);
     if (stalled)
@@ -388,7 +396,10 @@
         }
         runs_[request].tokens += tokens_per_event;
         ++runs_[request].events;
+        sound = sound && !(broken_off && event == 2);
     }
+    if (broken_off)
+        observer_.on_break_off(request);
     if (incarnation == incarnation_)
         runs_.erase(request);
     if (!sound || !*open || incarnation != incarnation_) {
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -72,6 +72,12 @@
     double paused{0};
     /// Repeated without end as the body of each answer, unless empty. The text must outlive the fault.
     std::string_view endless{};
+    /// Ends the connection after two events of a generation that begins.
+    double broken_off{0};
+    /// The whole body of a success in answer to a generation that is taken up at an event. The text must outlive the
+    /// fault.
+    std::optional<std::string_view> continuation{};
+};
 };
 
 /// Plain calls that take longer than the others.
