Send no request twice on one connection

Cause: answers are attributed by the id of their request, and the second sending used the connection that had carried the first, because the one that was used last is taken first. The late copy names the right id.

It carries 512 requests at most, which bounds the memory (4 KiB) and covers every request that it has carried. Calls to engines are not affected: their answers name no request.

A target that writes the false refusal on the connection of the running request itself cannot be told from one that refuses.

Evidence: process_target_answers/refusals_that_come_again_refuse_no_later_request fails without the change (503) and passes with it.

--- a/Libraries/forwarding_entry/plain_exchange.cpp
+++ b/Libraries/forwarding_entry/plain_exchange.cpp
@@ -116,8 +116,8 @@
     }
     prepared.target = *target;
     auto const connected = co_await parts_.connections.acquire(
-        view->record.address, std::min(target_connections::connect_timeout, request_.time_left(base::clock::now())),
-        unlimited_idle_time);
+        view->record.address, request_.caller.id,
+        std::min(target_connections::connect_timeout, request_.time_left(base::clock::now())), unlimited_idle_time);
     if (!connected) {
         parts_.placements.record_outcome(prepared.target, forwarding::target_outcome::unreachable);
         withdraw(prepared);
@@ -240,7 +240,8 @@
     if (!connection) {
         auto const maximum_idle = request_.may_run_again() ? unlimited_idle_time : maximum_idle_unless_repeatable;
         auto const connected = co_await parts_.connections.acquire(
-            address, std::min(target_connections::connect_timeout, request_.time_left(now)), maximum_idle);
+            address, request_.caller.id, std::min(target_connections::connect_timeout, request_.time_left(now)),
+            maximum_idle);
         if (!connected) {
             ++unsent_attempts_;
             parts_.placements.record_outcome(target, forwarding::target_outcome::unreachable);
--- a/Libraries/forwarding_entry/target_connections.cpp
+++ b/Libraries/forwarding_entry/target_connections.cpp
@@ -3,6 +3,7 @@
 #include "network/endpoint.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace cyclamenledge::forwarding_entry {
@@ -18,23 +19,36 @@
 } // namespace
 
 http::awaitable_result<http::upstream_pointer>
-target_connections::acquire(std::string address, base::milliseconds connect_timeout, base::milliseconds maximum_idle) {
-    auto const now = base::clock::now();
-    auto& pool = idle_[address];
-    while (!pool.empty()) {
-        // The target is least likely to have closed the connection that was used last.
-        auto candidate = std::move(pool.back());
-        pool.pop_back();
-        if (now < candidate.close_at && now - candidate.idle_since <= maximum_idle && candidate.connection->quiet())
-            co_return candidate.connection;
-        candidate.connection->close();
+target_connections::acquire(std::string address, std::string request, base::milliseconds connect_timeout,
+                            base::milliseconds maximum_idle) {
+    if (auto kept = take_idle(idle_[address], request, maximum_idle)) {
+        kept->add_request_name(request);
+        co_return kept;
     }
     BOOST_OUTCOME_CO_TRY(auto const endpoint, network::parse_endpoint(address));
     http::upstream_pointer opened{new http::upstream_connection{executor_, endpoint}};
     BOOST_OUTCOME_CO_TRYV(co_await opened->connect(connect_timeout));
+    opened->add_request_name(request);
     co_return opened;
 }
 
+http::upstream_pointer target_connections::take_idle(idle_pool& pool, std::string_view request,
+                                                     base::milliseconds maximum_idle) {
+    auto const now = base::clock::now();
+    // The target is least likely to have closed the connection that was used last.
+    for (auto position = pool.size(); position-- > 0;) {
+        auto const found = pool.begin() + static_cast<std::ptrdiff_t>(position);
+        if (found->connection->has_request_name(request))
+            continue;
+        auto const candidate = std::move(*found);
+        pool.erase(found);
+        if (now < candidate.close_at && now - candidate.idle_since <= maximum_idle && candidate.connection->quiet())
+            return candidate.connection;
+        candidate.connection->close();
+    }
+    return nullptr;
+}
+
 void target_connections::release(std::string const& address, http::upstream_pointer connection,
                                  std::optional<base::seconds> idle_timeout) {
     auto& pool = idle_[address];
--- a/Libraries/forwarding_entry/target_connections.h
+++ b/Libraries/forwarding_entry/target_connections.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cyclamenledge::forwarding_entry {
@@ -21,9 +22,11 @@
     explicit target_connections(boost::asio::any_io_executor executor)
         : executor_(std::move(executor)) {}
 
-    /// Returns a usable connection that was idle for at most the given time, or opens one. After a failure nothing was
-    /// sent.
-    http::awaitable_result<http::upstream_pointer> acquire(std::string address, base::milliseconds connect_timeout,
+    /// Returns a usable connection that was idle for at most the given time and has not carried a request of that name,
+    /// or opens one. On a connection that has, a target that writes an earlier answer once more would answer the second
+    /// request with it. After a failure nothing was sent.
+    http::awaitable_result<http::upstream_pointer> acquire(std::string address, std::string request,
+                                                           base::milliseconds connect_timeout,
                                                            base::milliseconds maximum_idle);
     /// Returns the connection to the pool, or closes it if its last answer rules out reuse or the pool is full.
     void release(std::string const& address, http::upstream_pointer connection,
@@ -38,9 +41,13 @@
         base::time_point idle_since;
         base::time_point close_at;
     };
+    using idle_pool = std::vector<idle_connection>;
+
+    /// Null when none is usable. Closes those that are not.
+    static http::upstream_pointer take_idle(idle_pool& pool, std::string_view request, base::milliseconds maximum_idle);
 
     boost::asio::any_io_executor executor_;
-    std::map<std::string, std::vector<idle_connection>, std::less<>> idle_;
+    std::map<std::string, idle_pool, std::less<>> idle_;
 };
 
 } // namespace cyclamenledge::forwarding_entry
--- a/Libraries/http/upstream_connection.cpp
+++ b/Libraries/http/upstream_connection.cpp
@@ -1,5 +1,7 @@
 #include "http/upstream_connection.h"
 
+#include "base/hash.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
@@ -25,6 +27,8 @@
 // Bytes that are received and not yet parsed, such as an incomplete head, chunk extension or trailer.
 constexpr std::size_t maximum_unparsed_bytes = longest_answer_head;
 constexpr unsigned lowest_final_status = 200;
+// Bounds the memory of a connection that is used for hours: 4 KiB. It is closed after this many requests.
+constexpr std::size_t most_request_names = 512;
 constexpr std::size_t maximum_kept_buffer = 4UL * 1024;
 // Unacknowledged bytes mark the connection as dead after this time.
 constexpr int unacknowledged_limit_ms = 4000;
@@ -49,6 +53,16 @@
     , endpoint_(std::move(endpoint))
     , buffer_(maximum_unparsed_bytes) {}
 
+void upstream_connection::add_request_name(std::string_view name) {
+    request_names_.push_back(base::hash_text(name));
+    if (request_names_.size() >= most_request_names)
+        end_after_answer();
+}
+
+bool upstream_connection::has_request_name(std::string_view name) const {
+    return std::ranges::find(request_names_, base::hash_text(name)) != request_names_.end();
+}
+
 awaitable_result<void> upstream_connection::connect(base::milliseconds timeout) {
     stream_.expires_after(timeout);
     auto [code] = co_await stream_.async_connect(endpoint_, as_tuple);
--- a/Libraries/http/upstream_connection.h
+++ b/Libraries/http/upstream_connection.h
@@ -16,6 +16,8 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace cyclamenledge::http {
 
@@ -47,6 +49,10 @@
     bool reusable() const;
     /// Whether the peer has neither closed the connection nor sent bytes that nobody asked for.
     bool quiet();
+    /// Records the name of a request that is about to be sent.
+    void add_request_name(std::string_view name);
+    /// Whether a request of that name was recorded. A late answer to it would be taken for one to a second request.
+    bool has_request_name(std::string_view name) const;
     /// Whether at most one request was sent, so that no answer to an earlier one can arrive.
     bool carries_first_request() const { return requests_ <= 1; }
     /// The connection carries no other request.
@@ -79,6 +85,8 @@
     /// Of the answer that is being read.
     std::optional<parser> parser_;
     std::uint64_t requests_{0};
+    /// Hashes, because names may be long.
+    std::vector<std::uint64_t> request_names_;
     bool open_{false};
     /// Whether an answer was read to its end and allows another request.
     bool kept_alive_{false};
--- a/Tests/process/target_answers/target_answers_test.cpp
+++ b/Tests/process/target_answers/target_answers_test.cpp
@@ -12,6 +12,7 @@
 class target_answers_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(target_answers_test);
     CPPUNIT_TEST(callers_are_not_told_that_a_request_has_not_run_when_it_has);
+    CPPUNIT_TEST(refusals_that_come_again_refuse_no_later_request);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -46,6 +47,22 @@
         });
         world.act([&] { CPPUNIT_ASSERT(world.ledger().violations().empty()); });
     }
+
+    // Guards against a caller who is told that a request has not run while it runs: the target writes its earlier
+    // refusal of the same request once more on the connection that carried it.
+    void refusals_that_come_again_refuse_no_later_request() {
+        platform_world world{{.entries = 1, .engines = 1, .services = 1}};
+        world.act([&] {
+            for (auto const& site : world.fleet().targets())
+                site->target->set_faults({.refused_twice = 1});
+        });
+        for (int number = 0; number < 5; ++number) {
+            auto const id = "refused-" + std::to_string(number);
+            CPPUNIT_ASSERT_EQUAL(503U, world.call({id, "/order/10"}).status);
+            CPPUNIT_ASSERT_EQUAL(200U, world.call({id, "/order/10"}).status);
+            world.act([&] { CPPUNIT_ASSERT_EQUAL(1U, world.ledger().find(id)->runs); });
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(target_answers_test);
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -20,6 +20,8 @@
 
 namespace {
 
+// From the beginning of a run to the second copy of its earlier refusal, and from there to its answer.
+constexpr base::milliseconds second_refusal_delay{50};
 constexpr std::uint32_t engine_memory = 30000;
 constexpr std::uint32_t prompt_tokens_per_millisecond = 14;
 constexpr std::uint32_t copied_tokens_per_millisecond = 18;
@@ -253,6 +255,22 @@
 asio::awaitable<void> target_standin::run_call(http::session_pointer client, http::request received) {
     auto const request = header(received, "X-Request-Id");
     auto const incarnation = incarnation_;
+    if (happens(faults_.refused_twice)) {
+        auto const [refused, first] = refused_.try_emplace(request, client);
+        auto const carrier = refused->second;
+        if (!first) {
+            observer_.on_run(request, *this, false);
+            co_await pause(second_refusal_delay);
+        }
+        std::ignore = co_await carrier->send(not_run(503, request));
+        if (first)
+            co_return;
+        co_await pause(second_refusal_delay);
+        observer_.on_run_complete(request);
+        std::ignore =
+            co_await client->send(stamped(http::make_response(200, "text/plain", request + " done"), request));
+        co_return;
+    }
     observer_.on_run(request, *this, false);
     if (co_await crash_on(client, received))
         co_return;
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -77,7 +77,9 @@
     /// The whole body of a success in answer to a generation that is taken up at an event. The text must outlive the
     /// fault.
     std::optional<std::string_view> continuation{};
-};
+    /// Refuses a request at first. When it comes again, writes the refusal once more, on the connection that carried
+    /// it, while the request runs.
+    double refused_twice{0};
 };
 
 /// Plain calls that take longer than the others.
@@ -214,6 +216,8 @@
     std::deque<base::time_point> accepted_;
     crash_handler on_crash_;
     std::map<std::string, run> runs_;
+    /// Connections that carried the refusals for refused_twice, by request.
+    std::map<std::string, http::session_pointer> refused_;
     /// Copies that others have sent here, by name, with the request that they belong to.
     std::map<std::string, std::string> copies_;
 };
