--- a/Libraries/forwarding_entry/publication_controller.cpp
+++ b/Libraries/forwarding_entry/publication_controller.cpp
@@ -135,7 +135,9 @@
     auto const* known = board_.fleet.find(record.id);
     if (known == nullptr || known->record.started_at != record.started_at)
         return known != nullptr && known->record.started_at > record.started_at;
-    if (record.sequence < known->record.sequence)
+    // The store orders what is written to it, so a lower number is an older announcement only in a copy. Another writer
+    // may have stored a higher one.
+    if (after_restore && record.sequence < known->record.sequence)
         return true;
     // The copy may hold a target that has left since. If it is still there, it announces itself again.
     bool const gone = known->removed || known->said_leaving();
--- a/Tests/forwarding/attempt_test.cpp
+++ b/Tests/forwarding/attempt_test.cpp
@@ -17,6 +17,7 @@
 using namespace std::chrono_literals;
 using namespace forwarding;
 
+
 } // namespace
 
 class attempt_test : public CppUnit::TestFixture {
--- a/Tests/forwarding_entry/publication_controller_test.cpp
+++ b/Tests/forwarding_entry/publication_controller_test.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(targets_that_left_are_not_used_again);
     CPPUNIT_TEST(earlier_incarnations_do_not_return);
     CPPUNIT_TEST(evacuations_outlast_a_restored_store);
+    CPPUNIT_TEST(odd_entries_of_another_writer_lose_no_target);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -135,6 +136,30 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{6}, played.board.fleet.find("t")->record.started_at);
     }
 
+    /// Guards against a running target that stays unused because another writer has stored something under its id.
+    void odd_entries_of_another_writer_lose_no_target() {
+        struct row {
+            char const* name;
+            char const* text;
+        };
+        std::vector<row> const table{
+            {"not JSON", "odd"},
+            {"number too large", R"({"service":"orders","address":"127.0.0.1:1","zone":"north-a","slots":6,)"
+                                 R"("state":"ready","born":5,"seq":1e300})"},
+            {"large number", R"({"service":"orders","address":"127.0.0.1:1","zone":"north-a","slots":6,)"
+                             R"("state":"ready","born":5,"seq":9000000000000000000})"},
+        };
+        for_each_row(table, [](row const& tested) {
+            world played;
+            played.controller.apply({target({1, 20}, "ready", 3)}, "store");
+            played.controller.apply({{publication_kind::target, "t", {1, 21}, false, tested.text, 0}}, "store");
+            played.controller.apply({target({1, 22}, "ready", 4)}, "store");
+            CPPUNIT_ASSERT(played.usable());
+            played.controller.apply({target({1, 23}, "draining", 5)}, "store");
+            CPPUNIT_ASSERT(!played.usable());
+        });
+    }
+
     void evacuations_outlast_a_restored_store() {
         struct row {
             char const* name;
--- a/Tests/platform/decoding_test.cpp
+++ b/Tests/platform/decoding_test.cpp
@@ -50,6 +50,8 @@
             char const* text;
             bool accepted;
         };
+        std::string const deeply_nested =
+            R"({"service":)" + std::string(100'000, '[') + std::string(100'000, ']') + "}";
         std::vector<row> const table{
             {"whole",
              R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":24,"state":"ready","coldLeftMs":5,"born":7})",
@@ -64,6 +66,23 @@
              false},
             {"broken start time",
              R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":24,"state":"ready","born":7.5})", false},
+            {"start time beyond every number",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":24,"state":"ready","born":1e300})", false},
+            {"start time before 1970",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":24,"state":"ready","born":-7})", false},
+            {"sequence beyond every number",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":24,"state":"ready","seq":1e300})", false},
+            {"sequence with a fraction",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":24,"state":"ready","seq":1.5})", false},
+            {"large sequence",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":24,"state":"ready","seq":18446744073709551615})",
+             true},
+            {"port 0", R"({"service":"s","address":"10.0.0.1:0","zone":"z","slots":24,"state":"ready"})", false},
+            {"port 65536", R"({"service":"s","address":"10.0.0.1:65536","zone":"z","slots":24,"state":"ready"})",
+             false},
+            {"negative port", R"({"service":"s","address":"10.0.0.1:-1","zone":"z","slots":24,"state":"ready"})",
+             false},
+            {"deeply nested", deeply_nested.c_str(), false},
             {"not an object", "[]", false},
             {"not JSON", "\x01\x02", false},
             {"empty", "", false},
