--- a/Tests/forwarding_entry/crash_detector_test.cpp
+++ b/Tests/forwarding_entry/crash_detector_test.cpp
@@ -52,8 +52,8 @@
             asio::co_spawn(
                 daemon->context(),
                 [this, number]() -> asio::awaitable<void> {
-                    forwarding_entry::lost_run lost{
-                        "r" + std::to_string(number), content, base::clock::now(), base::clock::now(), 0, false};
+                    forwarding_entry::lost_run lost{"r" + std::to_string(number), content, base::clock::now(),
+                                                    base::clock::now(),           0,       false};
                     co_await detector.examine("t", std::move(lost));
                 },
                 [&](std::exception_ptr const& failure) { verdicts += failure == nullptr ? 1 : 0; });
