Pass the style check: formatting and one braced argument

GCC 12 destroys a braced argument of an awaited call twice, so the body of the continuation in the target stand-in is named. The rest is white space.

--- a/Libraries/forwarding/stream_relay.h
+++ b/Libraries/forwarding/stream_relay.h
@@ -29,8 +29,8 @@
 };
 
 /// Merges the runs of one streamed request so that the caller receives each event once and in order. A run that
-/// continues from a copy of another run's memory is its successor; it becomes the active run with its first event. So is
-/// a run that is started after the first event was passed on: only an event at the right position shows that its
+/// continues from a copy of another run's memory is its successor; it becomes the active run with its first event. So
+/// is a run that is started after the first event was passed on: only an event at the right position shows that its
 /// target's answer goes on with the stream.
 class stream_relay {
 public:
--- a/Libraries/forwarding_entry/peer_controller.cpp
+++ b/Libraries/forwarding_entry/peer_controller.cpp
@@ -150,8 +150,8 @@
     auto const now = base::clock::now();
     message.as_of = store_.confirmed_revision().number;
     message.era = store_.confirmed_revision().era;
-    message.sent_at_ms = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<base::milliseconds>(now.time_since_epoch()).count());
+    message.sent_at_ms =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<base::milliseconds>(now.time_since_epoch()).count());
     message.age_ms = static_cast<std::uint32_t>(
         std::chrono::ceil<base::milliseconds>(now - store_.confirmed_at().value_or(now)).count());
     for (auto const& change : board_.publications.since(after))
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -337,8 +337,8 @@
     auto connection = std::exchange(current->prepared_connection, nullptr);
     if (!connection) {
         auto const maximum_idle = request_.may_run_again() ? unlimited_idle_time : maximum_idle_unless_repeatable;
-        auto const connected = co_await parts_.connections.acquire(
-            current->address, request_.caller.id, target_connections::connect_timeout, maximum_idle);
+        auto const connected = co_await parts_.connections.acquire(current->address, request_.caller.id,
+                                                                   target_connections::connect_timeout, maximum_idle);
         if (!connected) {
             parts_.placements.record_outcome(current->target, forwarding::target_outcome::unreachable);
             co_return send_result{send_outcome::not_sent, connected.error().message, {}};
@@ -550,8 +550,9 @@
 
 void stream_exchange::recover(stream_run& ended, send_result result) {
     if (!relay_.can_go_on()) {
-        fail(base::make_error(base::error_kind::generation_lost, "the stream cannot go on after an event without an id"),
-             result.reason);
+        fail(
+            base::make_error(base::error_kind::generation_lost, "the stream cannot go on after an event without an id"),
+            result.reason);
         return;
     }
     bool const refused = learn_refusal();
--- a/Libraries/forwarding_entry/target_connections.cpp
+++ b/Libraries/forwarding_entry/target_connections.cpp
@@ -18,9 +18,9 @@
 
 } // namespace
 
-http::awaitable_result<http::upstream_pointer>
-target_connections::acquire(std::string address, std::string request, base::milliseconds connect_timeout,
-                            base::milliseconds maximum_idle) {
+http::awaitable_result<http::upstream_pointer> target_connections::acquire(std::string address, std::string request,
+                                                                           base::milliseconds connect_timeout,
+                                                                           base::milliseconds maximum_idle) {
     if (auto kept = take_idle(idle_[address], request, maximum_idle)) {
         kept->add_request_name(request);
         co_return kept;
--- a/Tests/forwarding/attempt_test.cpp
+++ b/Tests/forwarding/attempt_test.cpp
@@ -17,7 +17,6 @@
 using namespace std::chrono_literals;
 using namespace forwarding;
 
-
 } // namespace
 
 class attempt_test : public CppUnit::TestFixture {
--- a/Tests/forwarding/stream_test.cpp
+++ b/Tests/forwarding/stream_test.cpp
@@ -134,7 +134,12 @@
             {"event without an id", {1, 2}, {std::nullopt}, gap, end_verdict::recover, true},
             {"event too far on", {1, 2}, {4}, gap, end_verdict::recover, true},
             {"no event", {1, 2}, {}, drop, end_verdict::recover, true},
-            {"event without an id after the next one", {1, 2}, {3, std::nullopt}, pass_on, end_verdict::complete, false},
+            {"event without an id after the next one",
+             {1, 2},
+             {3, std::nullopt},
+             pass_on,
+             end_verdict::complete,
+             false},
             {"unknown position", {1, std::nullopt}, {}, drop, end_verdict::recover, false},
         };
         for_each_row(table, [](row const& tested) {
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -386,8 +386,9 @@
     bool sound =
         incarnation == incarnation_ && *open && static_cast<bool>(co_await client->start_stream(std::move(head)));
     if (faults_.continuation && first > 1) {
-        if (sound && !faults_.continuation->empty())
-            std::ignore = co_await client->send_chunk(std::string{*faults_.continuation});
+        std::string const body{*faults_.continuation};
+        if (sound && !body.empty())
+            std::ignore = co_await client->send_chunk(body);
         runs_.erase(request);
         std::ignore = co_await client->finish_stream();
         co_return;
