Allow for clocks of relays that drift

Found by reading the diff: a relay's clock offset was the smallest one ever seen, so that a relay whose clock is slower by 50 parts in a million would seem 1.9 s old after about ten hours, and every follower would read the store itself from then on. No caller has seen it.

--- a/Libraries/forwarding/store_relay_table.h
+++ b/Libraries/forwarding/store_relay_table.h
@@ -41,8 +41,9 @@
     struct relay_status {
         relayed_state state;
         /// Own clock minus the relay's, when a report took least time on its way. A report that is late by comparison
-        /// is older than its age says.
-        base::duration clock_offset{base::duration::max()};
+        /// is older than its age says. No value before the first report.
+        std::optional<base::duration> clock_offset;
+        base::time_point reported_at;
     };
     std::map<std::string, relay_status> relays_;
 };
