Let a run from a copy end a stream without an event

A stream that goes on from a copy of its memory is the same run, and may have had nothing left to write when its first target ended.

forwarding/later_runs_show_that_they_go_on has the case.

--- a/Libraries/forwarding/stream_relay.cpp
+++ b/Libraries/forwarding/stream_relay.cpp
@@ -7,7 +7,9 @@
 run_number stream_relay::start_run() {
     if (passed_any_) {
         active_ = no_run;
-        return start_successor();
+        auto const started = start_successor();
+        successor_has_copy_ = false;
+        return started;
     }
     active_ = next_++;
     successor_ = no_run;
@@ -16,9 +18,16 @@
 
 run_number stream_relay::start_successor() {
     successor_ = next_++;
+    successor_has_copy_ = true;
     return successor_;
 }
 
+bool stream_relay::may_end_stream(run_number run) const {
+    if (run == active_ || !passed_any_)
+        return true;
+    return run == successor_ && active_ == no_run && successor_has_copy_;
+}
+
 event_verdict stream_relay::on_event(run_number run, std::optional<std::uint64_t> id) {
     if (run != active_ && run != successor_)
         return event_verdict::drop;
@@ -41,13 +50,13 @@
 }
 
 end_verdict stream_relay::on_end(run_number run, bool complete) {
+    bool const ends_stream = complete && may_end_stream(run);
     if (run == successor_) {
         successor_ = no_run;
         // The end of a successor that has not taken over does not end the stream while another run is active.
         if (active_ != no_run)
             return end_verdict::keep_open;
-        // Without an event of its own, it says nothing about the end of a stream that others have begun.
-        return complete && !passed_any_ ? end_verdict::complete : end_verdict::recover;
+        return ends_stream ? end_verdict::complete : end_verdict::recover;
     }
     if (run != active_)
         return active_ == no_run && successor_ == no_run ? end_verdict::recover : end_verdict::keep_open;
--- a/Libraries/forwarding/stream_relay.h
+++ b/Libraries/forwarding/stream_relay.h
@@ -42,6 +42,10 @@
     event_verdict on_event(run_number run, std::optional<std::uint64_t> id);
     end_verdict on_end(run_number run, bool complete);
 
+    /// Whether the stream is complete if the run ends with a complete answer now. Without an event of its own, a run
+    /// that does not go on from a copy says nothing about a stream that others have begun.
+    bool may_end_stream(run_number run) const;
+
     run_number active() const { return active_; }
     run_number successor() const { return successor_; }
     /// Id of the last event that was passed on.
@@ -54,6 +58,7 @@
     run_number next_{1};
     run_number active_{no_run};
     run_number successor_{no_run};
+    bool successor_has_copy_{false};
     std::optional<std::uint64_t> last_event_;
     bool passed_any_{false};
     /// Whether the last event that was passed on has an id.
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -437,7 +437,8 @@
         connection->close();
         co_return send_result{send_outcome::unknown, "the stream ended inside an event", {}};
     }
-    if (relay_.passed_any() && current->number != relay_.active()) {
+    bool const other_is_active = relay_.active() != forwarding::no_run && relay_.active() != current->number;
+    if (!other_is_active && !relay_.may_end_stream(current->number)) {
         connection->close();
         co_return send_result{send_outcome::unknown, "an answer without an event of the stream", {}};
     }
@@ -732,7 +733,7 @@
     auto const copy = consume_backup(ended);
     if (!copy || !charge_resumption(ended))
         return false;
-    launch(make_resuming_run(relay_.start_run(), ended, *copy));
+    launch(make_resuming_run(relay_.start_successor(), ended, *copy));
     log::write(log::event_kind::stream_recovered, {{"request", request_.caller.id},
                                                    {"target", copy->target},
                                                    {"reason", "backup"},
--- a/Tests/forwarding/stream_test.cpp
+++ b/Tests/forwarding/stream_test.cpp
@@ -156,6 +156,15 @@
             CPPUNIT_ASSERT(tested.at_complete_end == relay.on_end(second, true));
             CPPUNIT_ASSERT_EQUAL(tested.can_go_on, relay.can_go_on());
         });
+        // A run that goes on from a copy is the same run, which may have had nothing left to write.
+        stream_relay relay;
+        auto const first = relay.start_run();
+        relay.on_event(first, 1);
+        auto const copy = relay.start_successor();
+        CPPUNIT_ASSERT(!relay.may_end_stream(copy));
+        CPPUNIT_ASSERT(relay.on_end(first, false) == end_verdict::keep_open);
+        CPPUNIT_ASSERT(relay.may_end_stream(copy));
+        CPPUNIT_ASSERT(relay.on_end(copy, true) == end_verdict::complete);
     }
 
     // Guards against a stream that is ended, or kept open, because of the wrong run.
