Log the runs of a stream and find those that overlap

Users report that requests ran twice. Nothing that the entries wrote could show whether a second run was sent without a copy, or whether two targets worked on a stream together: stream_switched names the first event of the next run, but no line said when a run was sent, when it ended, and who ended it.

Entries now write run_sent and run_ended for each run of a stream, with the copy from which it goes on and the time for which another run went on beside it; run_overlaps_total counts runs beside which another one went on for over 400 ms. cyclamenctl trace ends with the runs of the request and the overlaps. No decision is changed.

trace/runs_that_overlap_are_found passes.

--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -284,6 +284,7 @@
         result.reason = replaced_reason;
     current->connection.reset();
     std::erase(runs_, current);
+    log_run_ended(*current, result);
     if (result.outcome == send_outcome::not_sent)
         parts_.placements.withdraw(current->target, request_.caller.id);
     else
@@ -320,6 +321,42 @@
     wake();
 }
 
+void stream_exchange::log_run_sent(stream_run const& started) const {
+    auto const& copy = started.context.resume_from;
+    log::write(log::event_kind::run_sent, {{"request", request_.caller.id},
+                                           {"run", started.number},
+                                           {"target", started.target},
+                                           {"target_started_at", started.target_started_at},
+                                           {"from", copy ? copy->address + "/" + copy->name : std::string{}},
+                                           {"last_event", started.context.resume_after.value_or(0)}});
+}
+
+void stream_exchange::log_run_ended(stream_run const& ended, send_result const& result) {
+    auto const now = base::clock::now();
+    base::milliseconds overlap{0};
+    for (auto const& other : runs_)
+        overlap = std::max(overlap, ended.overlap_with(*other, now));
+    if (overlap > longest_run_overlap)
+        parts_.metrics.add(metrics::counter_kind::run_overlaps);
+    std::string_view ended_by = "target";
+    if (result.outcome == send_outcome::not_sent)
+        ended_by = "not_sent";
+    else if (result.outcome != send_outcome::unknown)
+        ended_by = "answer";
+    else if (!result.connection_lost || ended.cancelled)
+        ended_by = "entry";
+    auto const since_sent = [&](base::time_point at) { return ended.sent ? milliseconds_since(ended.sent_at, at) : 0; };
+    log::write(log::event_kind::run_ended, {{"request", request_.caller.id},
+                                            {"run", ended.number},
+                                            {"target", ended.target},
+                                            {"ended_by", ended_by},
+                                            {"reason", result.reason},
+                                            {"events", ended.events},
+                                            {"first_event_ms", ended.events > 0 ? since_sent(ended.first_event_at) : 0},
+                                            {"lasted_ms", since_sent(now)},
+                                            {"overlap_ms", overlap.count()}});
+}
+
 run_end stream_exchange::describe_end(stream_run const& ended, send_result const& result) const {
     if (!parts_.board.fleet.under_overload_control(request_.service))
         return {};
@@ -367,6 +404,7 @@
     current->sent_at = base::clock::now();
     current->progress_at = current->sent_at;
     auto const message = platform::encode_forwarded(request_.received, current->context);
+    log_run_sent(*current);
     if (auto const sent = co_await current->connection->send(message, left); !sent)
         co_return make_unknown_result(sent.error());
     // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -76,6 +76,8 @@
     boost::asio::awaitable<send_result> send_and_read(stream_run_pointer current);
     boost::asio::awaitable<send_result> read_events(stream_run_pointer current, http::response_head head);
     bool forward_events(stream_run& current);
+    void log_run_sent(stream_run const& started) const;
+    void log_run_ended(stream_run const& ended, send_result const& result);
     /// Returns when the caller has read most of the events, so that those of an endless stream are not all stored.
     boost::asio::awaitable<void> wait_for_caller(stream_run& current);
 
--- a/Libraries/forwarding_entry/stream_run.h
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -10,6 +10,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,6 +20,9 @@
 /// A target that crashes on a prompt does so within this time from its first event, and mostly before.
 inline constexpr base::milliseconds crash_time{250};
 
+/// A target that works on a request for longer than this beside the next one runs it a second time.
+inline constexpr base::milliseconds longest_run_overlap{400};
+
 /// One run of a streamed request at one target.
 struct stream_run : public boost::intrusive_ref_counter<stream_run> {
     forwarding::run_number number{forwarding::no_run};
@@ -60,6 +64,12 @@
     bool cancelled{false};
     bool ended{false};
 
+    /// How long the run and the other one have gone on beside each other.
+    base::milliseconds overlap_with(stream_run const& other, base::time_point now) const {
+        if (!sent || !other.sent)
+            return base::milliseconds{0};
+        return std::chrono::duration_cast<base::milliseconds>(now - std::max(sent_at, other.sent_at));
+    }
     /// Whether the target has written the answer for longer than a prompt needs to crash it.
     bool shows_sound_prompt(base::time_point now) const { return events > 0 && now - first_event_at >= crash_time; }
     void cancel() {
--- a/Libraries/log/event_kind.cpp
+++ b/Libraries/log/event_kind.cpp
@@ -80,6 +80,8 @@
     {stream_taken_up, 826, info, "stream_taken_up"},
     {target_failing, 620, warning, "target_failing"},
     {target_recovered, 621, info, "target_recovered"},
+    {run_sent, 827, info, "run_sent"},
+    {run_ended, 828, info, "run_ended"},
 }};
 
 } // namespace
--- a/Libraries/log/event_kind.h
+++ b/Libraries/log/event_kind.h
@@ -81,8 +81,10 @@
     stream_taken_up,
     target_failing,
     target_recovered,
+    run_sent,
+    run_ended,
 };
-inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::target_recovered) + 1;
+inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::run_ended) + 1;
 
 /// Number, level and name of one kind of event.
 struct event_definition {
--- a/Tests/trace/trace_test.cpp
+++ b/Tests/trace/trace_test.cpp
@@ -1,4 +1,5 @@
 #include "trace/request_trace.h"
+#include "trace/stream_runs.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -31,6 +32,7 @@
     CPPUNIT_TEST(reads_lines);
     CPPUNIT_TEST(orders_processes_whose_clocks_differ);
     CPPUNIT_TEST(unknown_requests);
+    CPPUNIT_TEST(runs_that_overlap_are_found);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -74,6 +76,30 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"  2000 ms  entry  request_failed  reason=lost"}, describe(path.back()));
     }
 
+    // Guards against an overlap of two runs that an operator cannot see.
+    void runs_that_overlap_are_found() {
+        std::vector<std::string> const lines{
+            line(1000, "entry", "run_sent", R"("request":"r","run":"1","target":"t1","from":"")"),
+            line(3000, "entry", "run_sent", R"("request":"r","run":"2","target":"t2","from":"10.0.0.1:80/c")"),
+            line(3100, "entry", "run_sent", R"("request":"other","run":"1","target":"t2","from":"")"),
+            line(3700, "entry", "run_ended", R"("request":"r","run":"1","target":"t1","ended_by":"entry")"),
+            line(5000, "entry", "run_ended", R"("request":"r","run":"2","target":"t2","ended_by":"answer")"),
+            line(5000, "entry", "run_sent", R"("request":"r","run":"3","target":"t3","from":"")"),
+        };
+        request_trace traced;
+        for (auto const& text : lines)
+            traced.add(parse_log_line(text).value());
+        auto const runs = trace::find_runs(traced.find("r"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, runs.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"run 2 at t2: sent at 2000 ms, ended at 4000 ms by answer, went on from "
+                                         "10.0.0.1:80/c"},
+                             describe(runs[1]));
+        CPPUNIT_ASSERT_EQUAL(std::string{"run 3 at t3: sent at 4000 ms, no end logged"}, describe(runs[2]));
+        auto const overlaps = trace::find_overlaps(runs);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, overlaps.size());
+        CPPUNIT_ASSERT_EQUAL(std::string{"runs 1 and 2 went on together for 700 ms at least"}, describe(overlaps[0]));
+    }
+
     void unknown_requests() { CPPUNIT_ASSERT(request_trace{}.find("r").empty()); }
 };
 
--- a/Utilities/cyclamenctl/trace_command.cpp
+++ b/Utilities/cyclamenctl/trace_command.cpp
@@ -1,6 +1,7 @@
 #include "trace_command.h"
 
 #include "trace/request_trace.h"
+#include "trace/stream_runs.h"
 
 #include <fstream>
 #include <iostream>
@@ -23,7 +24,8 @@
     options.add_option("FILE", files_, "Logs of entries and agents; standard input without any");
     options.footer(
         "Lines with ~ do not name the request: they are the state of its targets and of its process. Times are "
-        "milliseconds since the request's first line, by the clock of the process that served it.");
+        "milliseconds since the request's first line, by the clock of the process that served it. The runs of a "
+        "stream follow, with the time for which two of them went on together.");
 }
 
 exit_status trace_command::run() {
@@ -41,6 +43,11 @@
     auto const path = lines.find(request_);
     for (auto const& line : path)
         std::cout << trace::describe(line) << '\n';
+    auto const runs = trace::find_runs(path);
+    for (auto const& run : runs)
+        std::cout << trace::describe(run) << '\n';
+    for (auto const& overlap : trace::find_overlaps(runs))
+        std::cout << trace::describe(overlap) << '\n';
     if (path.empty()) {
         std::cerr << "cyclamenctl: no line names the request " << request_ << '\n';
         return exit_status::invalid;
