Show by a test that two engines work on one stream

The stand-ins can now work on after their connection is closed, make the first event after a resumption late, stop a run for its last copy and keep its memory. No logic of the product is changed.

--- a/Development/soak/fault_plan.cpp
+++ b/Development/soak/fault_plan.cpp
@@ -290,7 +290,10 @@
                                                                             {.reset = 0.4},
                                                                             {.unproven = 0.3},
                                                                             {.stalled = 0.3}}};
-    site.target->set_faults(kinds.at(random_.below(kinds.size())));
+    auto harmed = kinds.at(random_.below(kinds.size()));
+    harmed.works_on = site.usual.works_on;
+    harmed.resumption_delay = site.usual.resumption_delay;
+    site.target->set_faults(harmed);
     co_await pause(500, 3000);
     site.target->set_faults(site.usual);
 }
--- a/Development/soak/main.cpp
+++ b/Development/soak/main.cpp
@@ -62,6 +62,8 @@
 // Planned operations and faults follow each other, so that planned ones are also judged undisturbed.
 constexpr base::seconds planned_phase{8};
 constexpr base::seconds fault_phase{6};
+// From the acceptance of a generation that goes on from a copy to its first event, in milliseconds.
+constexpr std::uint64_t longest_first_event = 900;
 
 class soak_run {
 public:
@@ -98,7 +100,20 @@
         }
     }
 
+    /// Some engines work on after their caller has closed the connection, and some make the first event after a
+    /// resumption late.
+    void vary_engines() {
+        for (auto const& site : fleet_.targets()) {
+            if (!site->target->where().engine)
+                continue;
+            site->usual.works_on = random_.below(3) == 0 ? 1 : 0;
+            site->usual.resumption_delay = base::milliseconds{random_.below(2) * random_.below(longest_first_event)};
+            site->target->set_faults(site->usual);
+        }
+    }
+
     asio::awaitable<void> play() {
+        vary_engines();
         co_await pause(start_time);
         asio::co_spawn(context_, watch_daemons(), asio::detached);
         for (std::size_t number = 0; number < options_.callers; ++number) {
--- a/Development/soak/run_ledger.cpp
+++ b/Development/soak/run_ledger.cpp
@@ -1,6 +1,7 @@
 #include "soak/run_ledger.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cyclamenledge::soak {
@@ -20,6 +21,8 @@
 constexpr std::uint32_t permitted_closed_unanswered = 3;
 constexpr std::uint32_t permitted_beyond_attempts = 3;
 constexpr base::milliseconds permitted_extra_time{500};
+// A target may work on a call for this long after the call has gone on at another one.
+constexpr base::milliseconds permitted_overlap{400};
 constexpr std::uint32_t permitted_too_much_time = 20;
 constexpr std::uint32_t permitted_too_much_time_of = 5;
 // A request that has crashed this many targets reaches others only so many times more, when every entry had the contact
@@ -271,6 +274,7 @@
 
 void run_ledger::on_end(platform::standin::target_standin const& target) {
     for (auto& [request, call] : calls_) {
+        end_work(request, call, target.id());
         call.run_at.erase(target.id());
         if (!call.ended && call.last_target == target.id())
             call.target_broke_off = true;
@@ -348,6 +352,7 @@
         violation("ran twice: " + request + " at " + target.id());
     if (!continued && call.ended && call.end == call_end::refused && !call.may_run_again)
         violation("ran after it was refused: " + request + " at " + target.id());
+    call.work.push_back({target.id(), now, continued, call.sent && in_touch(call.sent->entry, now), false});
     if (!continued && call.run_at.insert(target.id()).second)
         check_attempts(request, call, now);
     check_crashing_run(call, now);
@@ -362,6 +367,31 @@
     call.completed_at = base::clock::now();
 }
 
+void run_ledger::on_work_end(std::string const& request, platform::standin::target_standin const& target) {
+    if (auto const call = calls_.find(request); call != calls_.end())
+        end_work(request, call->second, target.id());
+}
+
+void run_ledger::end_work(std::string const& request, call_record& call, std::string const& target_id) {
+    auto const now = base::clock::now();
+    for (auto earlier = call.work.begin(); earlier != call.work.end(); ++earlier) {
+        if (earlier->ended || earlier->target != target_id)
+            continue;
+        earlier->ended = true;
+        for (auto later = std::next(earlier); later != call.work.end(); ++later) {
+            // A call that may run again may also begin anew elsewhere.
+            bool const second_run = later->continued || !call.may_run_again;
+            if (!second_run || later->target == target_id)
+                continue;
+            auto const overlap = std::chrono::duration_cast<base::milliseconds>(now - later->began);
+            call.longest_overlap = std::max(call.longest_overlap, overlap);
+            if (later->judged && overlap > permitted_overlap)
+                violation("went on at " + later->target + " while " + target_id + " worked on it for " +
+                          std::to_string(overlap.count()) + " ms more: " + request);
+        }
+    }
+}
+
 void run_ledger::on_request_crash(std::string const& request, platform::standin::target_standin const&) {
     if (auto const* call = find(request); call != nullptr && !call->crashing_content.empty())
         record_crash(call->crashing_content, base::clock::now());
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -57,6 +57,16 @@
     entries,
 };
 
+/// The work of a target on a call.
+struct work_record {
+    std::string target;
+    base::time_point began{};
+    bool continued{false};
+    /// The entry was in touch when it began.
+    bool judged{false};
+    bool ended{false};
+};
+
 struct call_record {
     bool may_run_again{false};
     /// Requests of this attempt that have reached targets.
@@ -80,6 +90,10 @@
     /// When the time ends that was handed on with the first arrival.
     base::time_point first_deadline{};
     base::time_point completed_at{};
+    /// In the order in which the work began.
+    std::vector<work_record> work;
+    /// For which a target worked on it beside the one at which it went on.
+    base::milliseconds longest_overlap{0};
     /// Targets that ran it and have not ended since.
     std::set<std::string> run_at;
     std::string last_target;
@@ -150,6 +164,7 @@
     void on_mismatch(std::string const& request, platform::standin::target_standin const& target) override;
     void on_run(std::string const& request, platform::standin::target_standin const& target, bool continued) override;
     void on_run_complete(std::string const& request) override;
+    void on_work_end(std::string const& request, platform::standin::target_standin const& target) override;
     void on_break_off(std::string const& request) override;
     void on_end(platform::standin::target_standin const& target) override;
     void on_request_crash(std::string const& request, platform::standin::target_standin const& target) override;
@@ -257,6 +272,7 @@
     void check_attempts(std::string const& request, call_record& call, base::time_point now);
     void record_cut(std::string const& request, call_record const& call, base::time_point at);
     void check_crashing_run(call_record const& call, base::time_point now);
+    void end_work(std::string const& request, call_record& call, std::string const& target_id);
     /// Whether the entries had the time to tell a crashing part from others, while calls with it still come.
     bool beside_crashing_part(base::time_point at) const;
     void check_notices(std::string const& request, std::string const& target_id, base::time_point now);
--- a/Tests/soak/run_ledger_test.cpp
+++ b/Tests/soak/run_ledger_test.cpp
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <thread>
 #include <tuple>
 #include <vector>
 
@@ -116,6 +117,15 @@
             ledger.on_run(request, other, false);
         }
     }
+    void go_on_elsewhere(bool may_run_again, bool continued, base::milliseconds overlap) {
+        ledger.begin_call("a", may_run_again, "engine");
+        ledger.send_call("a", {0, false});
+        run("a");
+        ledger.on_run("a", other, continued);
+        std::this_thread::sleep_for(overlap);
+        ledger.on_work_end("a", target);
+        ledger.on_work_end("a", other);
+    }
     void run(std::string const& request, bool continued = false) { ledger.on_run(request, target, continued); }
 };
 
@@ -188,6 +198,18 @@
                  played.run("a", true);
              },
              false},
+            {"goes on elsewhere while its target works on",
+             [](world& played) { played.go_on_elsewhere(false, true, 450ms); }, true},
+            {"goes on elsewhere just before its target ends the work",
+             [](world& played) { played.go_on_elsewhere(false, true, 300ms); }, false},
+            {"a stream that may run again begins anew beside its target",
+             [](world& played) { played.go_on_elsewhere(true, false, 450ms); }, false},
+            {"goes on elsewhere through an entry that is not in touch",
+             [](world& played) {
+                 played.ledger.start_entry(0);
+                 played.go_on_elsewhere(false, true, 450ms);
+             },
+             false},
             {"a read runs twice",
              [](world& played) {
                  played.ledger.begin_call("a", true, "orders");
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -32,6 +32,7 @@
 constexpr base::milliseconds slow_call{1000};
 constexpr base::milliseconds stalled_byte_interval{200};
 constexpr base::milliseconds event_pause{2000};
+constexpr base::milliseconds stop_check_interval{5};
 constexpr std::size_t endless_part_bytes = 64UL * 1024;
 // Time from the start of a run until it crashes the target.
 constexpr base::milliseconds crash_delay{30};
@@ -327,13 +328,25 @@
 }
 
 bool target_standin::take_copy(std::string const& source, std::string const& request) {
-    auto const found = copies_.find(source.substr(source.find('/') + 1));
+    auto const separator = source.find('/');
+    auto const name = source.substr(separator + 1);
+    auto const found = copies_.find(name);
     if (found == copies_.end() || found->second != request)
         return false;
     copies_.erase(found);
+    // A handle can be used once, here or where the memory came from.
+    if (auto const origin = directory_.find(source.substr(0, separator)); origin != directory_.end())
+        origin->second->copies_.erase(name);
     return true;
 }
 
+void target_standin::end_work(std::string const& request, std::uint64_t incarnation) {
+    if (incarnation != incarnation_)
+        return;
+    runs_.erase(request);
+    observer_.on_work_end(request, *this);
+}
+
 asio::awaitable<void> target_standin::run_generation(http::session_pointer client, http::request received) {
     auto const request = header(received, "X-Request-Id");
     auto const source = header(received, "Kv-From");
@@ -342,6 +355,7 @@
     if (happens(faults_.reset)) {
         observer_.on_run(request, *this, continued && take_copy(source, request));
         observer_.on_break_off(request);
+        observer_.on_work_end(request, *this);
         client->close();
         co_return;
     }
@@ -367,8 +381,8 @@
     // The session may call this after the end of the coroutine.
     auto const open = std::make_shared<bool>(true);
     client->watch_for_close([open] { *open = false; });
-    auto const until_first_event =
-        continued ? event_interval : base::milliseconds{prompt / prompt_tokens_per_millisecond};
+    auto const until_first_event = continued ? event_interval + faults_.resumption_delay
+                                             : base::milliseconds{prompt / prompt_tokens_per_millisecond};
     co_await pause(until_first_event);
     http::beast_http::response_header<> head;
     head.result(200);
@@ -379,8 +393,7 @@
     add_leaving(head, request);
     if (!faults_.endless.empty()) {
         co_await send_without_end(client, std::move(head));
-        if (incarnation == incarnation_)
-            runs_.erase(request);
+        end_work(request, incarnation);
         co_return;
     }
     bool sound =
@@ -389,17 +402,19 @@
         std::string const body{*faults_.continuation};
         if (sound && !body.empty())
             std::ignore = co_await client->send_chunk(body);
-        runs_.erase(request);
+        end_work(request, incarnation);
         std::ignore = co_await client->finish_stream();
         co_return;
     }
     bool const broken_off = first == 1 && happens(faults_.broken_off);
     bool const stalled = happens(faults_.stalled);
     bool const paused = happens(faults_.paused);
+    bool const works_on = happens(faults_.works_on);
     if (stalled)
         observer_.on_break_off(request);
-    for (auto event = first; sound && *open && event <= total; ++event) {
-        while (stalled && event > first && sound && *open && incarnation == incarnation_) {
+    for (auto event = first; event <= total && ((sound && *open) || works_on); ++event) {
+        while (stalled && event > first && incarnation == incarnation_ && ((sound && *open) || works_on) &&
+               !runs_[request].stopped) {
             sound = static_cast<bool>(co_await client->send_chunk(":"));
             co_await pause(stalled_byte_interval);
         }
@@ -407,20 +422,23 @@
             co_await pause(event_pause);
         auto const text = "id: " + std::to_string(event) + "\ndata: " + request + ":" + std::to_string(event) + "\n" +
                           std::string{version_mark} + version + "\n\n";
-        sound = static_cast<bool>(co_await client->send_chunk(text));
+        if (sound && *open)
+            sound = static_cast<bool>(co_await client->send_chunk(text));
         co_await pause(event_interval);
-        if (incarnation != incarnation_) {
+        if (incarnation != incarnation_ || runs_[request].stopped) {
+            end_work(request, incarnation);
             client->close();
             co_return;
         }
         runs_[request].tokens += tokens_per_event;
         ++runs_[request].events;
-        sound = sound && !(broken_off && event == 2);
+        if (broken_off && event == 2) {
+            sound = false;
+            observer_.on_break_off(request);
+            client->close();
+        }
     }
-    if (broken_off)
-        observer_.on_break_off(request);
-    if (incarnation == incarnation_)
-        runs_.erase(request);
+    end_work(request, incarnation);
     if (!sound || !*open || incarnation != incarnation_) {
         client->close();
         co_return;
@@ -450,26 +468,32 @@
         std::ignore = co_await client->send(std::move(refusal));
         co_return;
     }
+    auto const* last = object->if_contains("last");
+    bool const stops = last != nullptr && last->is_bool() && last->as_bool();
+    // The run ends by itself, with its next event.
+    moved->second.stopped = stops;
     auto const now = base::clock::now();
     link_free_ = std::max(link_free_, now) + base::milliseconds{moved->second.tokens / copied_tokens_per_millisecond};
     co_await pause(std::chrono::duration_cast<base::milliseconds>(link_free_ - now));
+    while (stops && incarnation == incarnation_ && runs_.contains(request))
+        co_await pause(stop_check_interval);
     if (incarnation != incarnation_) {
         client->close();
         co_return;
     }
-    if (destination == directory_.end() || !destination->second->up_ || happens(0.05)) {
-        auto refusal = http::make_response(503, "text/plain", "");
-        add_leaving(refusal, {});
-        std::ignore = co_await client->send(std::move(refusal));
-        co_return;
-    }
+    bool const refused = destination == directory_.end() || !destination->second->up_ || happens(0.05) ||
+                         destination->second->happens(destination->second->faults_.copy_room_refused);
     auto const name = "copy-" + std::to_string(random_.next());
-    destination->second->copies_[name] = request;
+    if (!refused)
+        destination->second->copies_[name] = request;
+    if (stops)
+        copies_[name] = request;
     // GCC 12 cannot keep an initializer list over the suspension.
     json::object content_of_answer;
-    content_of_answer["handle"] = name;
+    if (!refused || stops)
+        content_of_answer["handle"] = name;
     content_of_answer["createRev"] = 0;
-    auto answer = http::make_response(200, "application/json", json::serialize(content_of_answer));
+    auto answer = http::make_response(refused ? 503 : 200, "application/json", json::serialize(content_of_answer));
     add_leaving(answer, {});
     std::ignore = co_await client->send(std::move(answer));
 }
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -38,6 +38,8 @@
     virtual void on_run(std::string const& request, target_standin const& target, bool continued) = 0;
     /// The target has made its whole answer.
     virtual void on_run_complete(std::string const& request) = 0;
+    /// The target has stopped working on a generation.
+    virtual void on_work_end(std::string const& /*request*/, target_standin const& /*target*/) {}
     /// The target ends the connection before its answer is complete.
     virtual void on_break_off(std::string const& /*request*/) {}
     /// The target ended with everything that was at work there.
@@ -80,6 +82,12 @@
     /// Refuses a request at first. When it comes again, writes the refusal once more, on the connection that carried
     /// it, while the request runs.
     double refused_twice{0};
+    /// Works on after its caller has closed the connection of a generation.
+    double works_on{0};
+    /// From the acceptance of a generation that goes on from a copy to its first event, beside the usual time.
+    base::milliseconds resumption_delay{0};
+    /// Refuses copies of memory from other targets.
+    double copy_room_refused{0};
 };
 
 /// Plain calls that take longer than the others.
@@ -169,6 +177,8 @@
     struct run {
         std::uint32_t tokens{0};
         std::uint64_t events{0};
+        /// Its memory is moved for the last time, so it makes no event more.
+        bool stopped{false};
     };
 
     boost::asio::awaitable<void> pause(base::milliseconds length);
@@ -189,6 +199,8 @@
                                                   http::beast_http::response_header<> head);
     boost::asio::awaitable<void> move(http::session_pointer client, http::request received);
     http::response report() const;
+    /// Ends the work on a generation whose connection was or is closed.
+    void end_work(std::string const& request, std::uint64_t incarnation);
     /// Whether the memory that the request names is here. The copy is used up.
     bool take_copy(std::string const& source, std::string const& request);
     bool happens(double share) { return random_.unit() < share; }
@@ -218,7 +230,7 @@
     std::map<std::string, run> runs_;
     /// Connections that carried the refusals for refused_twice, by request.
     std::map<std::string, http::session_pointer> refused_;
-    /// Copies that others have sent here, by name, with the request that they belong to.
+    /// Copies that others have sent here and memory of stopped runs, by name, with the request that they belong to.
     std::map<std::string, std::string> copies_;
 };
 
