Stop a run before its stream goes on at another target

Cause: the entry took the closed connection of a run for the end of its work, and closed it only when the next run had made its first event. Nothing bounded the time between, up to 900 ms in a move and 2 s after a stall, and a target that does not notice the closed connection works on in any case.

A stream now goes on elsewhere only when the run before has ended. The entry asks the target to stop the run with the call that copies its memory for the last time. The answer says whether the run has stopped and where its memory is, whether the target does not run it, or whether its process has ended; run_handover decides from that, with a table over all outcomes. A run that may go on is left alone. In a move, a first copy is made while the run goes on, so that the last one is small, and the next target's connection is open before the run is stopped. A next target that refuses the copy leads to the next copy: what the stopped target keeps, or the replica. At a target in a hold-off the stopping call is the only one.

The stand-in of an engine no longer sends an event after it has stopped a run that stalled.

--- /dev/null
+++ b/Libraries/forwarding_entry/run_stopper.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "forwarding/run_handover.h"
+#include "forwarding_entry/entry_parts.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace cyclamenledge::forwarding_entry {
+
+/// A run that is to be stopped.
+struct stop_request {
+    std::string request;
+    std::string target;
+    /// Start of the target's incarnation, see target_record.
+    std::int64_t target_started_at{0};
+    /// IP:PORT of the target.
+    std::string address;
+    /// IP:PORT of the engine that gets the memory of the run.
+    std::string destination;
+};
+
+struct stop_answer {
+    forwarding::stop_outcome outcome{forwarding::stop_outcome::not_stopped};
+    /// Identifies the memory of the stopped run in the request that goes on from it. Empty unless it is known.
+    std::string handle;
+};
+
+/// Stops a run at its target, and finds out whether it has ended. A closed connection does not show that: targets may
+/// not notice it, and the end of a connection may be a fault of the network.
+boost::asio::awaitable<stop_answer> stop_run(entry_parts& parts, stop_request wanted);
+
+} // namespace cyclamenledge::forwarding_entry
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -42,36 +42,19 @@
 // is useless.
 constexpr int objectives_until_abandoned = 4;
 constexpr base::milliseconds abandon_margin{700};
-// An engine admits a run that resumes from a copy first. Without an event after this time the run is cancelled.
-constexpr base::milliseconds takeover_timeout{900};
-// The same for a run that resumes from a replica beside a stalled one, which may never make an event.
-constexpr base::milliseconds takeover_timeout_when_stalled{2000};
 // How often a stall is looked at again while nothing can be done about it.
 constexpr base::milliseconds stall_check_interval{250};
 // Reason of a run that was ended for its replacement.
 constexpr std::string_view replaced_reason = "slow";
-constexpr base::milliseconds copy_timeout{2000};
 // Length of a stream on a route without a time limit, for the software versions that may have begun it.
 constexpr base::milliseconds longest_stream_without_limit{60'000};
 // Retry-After of a stream whose beginning is not known here.
 constexpr base::milliseconds unknown_origin_delay{300};
-constexpr base::milliseconds move_retry_pause{40};
-constexpr int maximum_move_attempts = 40;
-// Tokens that a request generates while its memory is copied.
-constexpr std::uint32_t copy_headroom_tokens = 200;
-// The TCP window limits a copy between regions, not the engines' links. No other copy uses the link meanwhile.
-constexpr std::uint32_t wide_area_tokens_per_millisecond = 2;
-// Engines accept copies up to this share of their memory. The lower share for backups leaves room for new requests.
-constexpr double copy_room_share = 0.97;
+// Engines accept replicas up to this share of their memory, which leaves room for new requests.
 constexpr double backup_room_share = 0.55;
 // Time that an engine takes per token of a run while it serves a few others.
 constexpr base::milliseconds engine_time_per_token{10};
 
-/// Whether another resumption may be sent to take over from the run.
-bool may_resume(stream_run const& source) {
-    return source.resumptions < forwarding::maximum_resumptions_per_run;
-}
-
 bool is_success(http::response_head const& head) {
     return head.result_int() >= 200 && head.result_int() < 300;
 }
@@ -105,7 +88,7 @@
     , request_(std::move(request))
     , engine_(nullptr)
     , wake_timer_(parts.context)
-    , takeover_timer_(parts.context) {
+    , end_timer_(parts.context) {
     auto const* service = request_.routes->find_service(request_.service);
     if (service != nullptr && service->engine)
         engine_ = &*service->engine;
@@ -214,6 +197,10 @@
     start_run_at(target.value(), nullptr);
 }
 
+base::milliseconds stream_exchange::maximum_idle() const {
+    return request_.may_run_again() ? unlimited_idle_time : maximum_idle_unless_repeatable;
+}
+
 void stream_exchange::start_run_at(std::string const& target, http::upstream_pointer connection) {
     auto const started = make_run(relay_.start_run(), target);
     started->prepared_connection = std::move(connection);
@@ -293,7 +280,7 @@
         ++possible_runs_;
     if (result.outcome == send_outcome::not_sent)
         ++unsent_attempts_;
-    if (result.connection_lost && !current->cancelled && !caller_left_) {
+    if (result.connection_lost && !current->cancelled && !current->stop_asked && !caller_left_) {
         // GCC 12 destroys a braced argument of an awaited call twice, so this is named.
         auto const now = base::clock::now();
         lost_run lost{request_.caller.id, request_.content,
@@ -310,14 +297,15 @@
     // The end of a run at a leaving target is expected and does not count against the target's health.
     auto const* view = parts_.board.fleet.find(current->target);
     bool const target_leaving = view != nullptr && view->leaving(base::clock::now());
-    if (!current->cancelled && !caller_left_ && !target_leaving && result.may_have_run() && !result.held_off)
+    bool const judged = !current->cancelled && !current->stop_asked && !caller_left_ && !target_leaving;
+    if (judged && result.may_have_run() && !result.held_off)
         parts_.placements.record_outcome(current->target, succeeded ? answered : failed);
     if (result.reason == "other_target")
         parts_.notices.on_replaced({current->target, current->target_started_at}, request_.caller.id);
-    on_end(*current, std::move(result));
+    on_end(current, std::move(result));
     if (replaced)
         discard_replacement();
-    takeover_timer_.cancel();
+    end_timer_.cancel();
     wake();
 }
 
@@ -373,9 +361,8 @@
 asio::awaitable<send_result> stream_exchange::send_and_read(stream_run_pointer current) {
     auto connection = std::exchange(current->prepared_connection, nullptr);
     if (!connection) {
-        auto const maximum_idle = request_.may_run_again() ? unlimited_idle_time : maximum_idle_unless_repeatable;
         auto const connected = co_await parts_.connections.acquire(current->address, request_.caller.id,
-                                                                   target_connections::connect_timeout, maximum_idle);
+                                                                   target_connections::connect_timeout, maximum_idle());
         if (!connected) {
             parts_.placements.record_outcome(current->target, forwarding::target_outcome::unreachable);
             co_return send_result{send_outcome::not_sent, connected.error().message, {}};
@@ -383,7 +370,8 @@
         connection = connected.value();
     }
     auto const left = request_.time_left(base::clock::now());
-    bool const still_allowed = parts_.board.fleet.may_receive(current->target, base::clock::now());
+    bool const still_allowed =
+        current->at_stopped_source || parts_.board.fleet.may_receive(current->target, base::clock::now());
     if (current->cancelled || caller_left_ || left.count() <= 0 || !still_allowed) {
         parts_.connections.release(current->address, connection, {});
         co_return send_result{send_outcome::not_sent, "no longer wanted", {}};
@@ -450,8 +438,6 @@
     }
     if (!head_)
         head_ = make_caller_head(head);
-    if (current->replaces_stalled)
-        cancel_others(current->number);
     while (true) {
         auto const part = co_await connection->read_body(request_.time_left(base::clock::now()));
         if (!part) {
@@ -553,8 +539,8 @@
                 {"last_event", relay_.last_event().value_or(0)},
                 {"gap_ms", event_count_ == 0 ? 0 : milliseconds_since(last_event_at_, now)}});
     ++takeovers_;
-    cancel_others(successor.number);
-    takeover_timer_.cancel();
+    stopped_run_.reset();
+    next_copies_.clear();
 }
 
 void stream_exchange::cancel_others(forwarding::run_number kept) {
@@ -566,28 +552,31 @@
     }
 }
 
-void stream_exchange::on_end(stream_run& ended, send_result result) {
+void stream_exchange::on_end(stream_run_pointer ended, send_result result) {
     if (caller_left_ || phase_ != phase::running)
         return;
-    bool const was_active = ended.number == relay_.active();
+    bool const was_active = ended->number == relay_.active();
     bool const complete = result.outcome == send_outcome::answered && !result.answer;
-    switch (relay_.on_end(ended.number, complete)) {
+    switch (relay_.on_end(ended->number, complete)) {
     case forwarding::end_verdict::complete:
         phase_ = phase::complete;
         return;
     case forwarding::end_verdict::keep_open:
-        if (!was_active && !ended.cancelled)
+        if (!was_active && !ended->cancelled)
             log::write(log::event_kind::stream_copy_failed,
-                       {{"request", request_.caller.id}, {"target", ended.target}, {"reason", result.reason}});
+                       {{"request", request_.caller.id}, {"target", ended->target}, {"reason", result.reason}});
         return;
     case forwarding::end_verdict::recover:
-        tried_targets_.push_back(ended.target);
-        recover(ended, std::move(result));
+        tried_targets_.push_back(ended->target);
+        if (ended->stopping)
+            ended->end_while_stopping = std::move(result);
+        else
+            recover(ended, std::move(result));
         return;
     }
 }
 
-void stream_exchange::recover(stream_run& ended, send_result result) {
+void stream_exchange::recover(stream_run_pointer ended, send_result result) {
     if (!relay_.can_go_on()) {
         fail(
             base::make_error(base::error_kind::generation_lost, "the stream cannot go on after an event without an id"),
@@ -595,8 +584,19 @@
         return;
     }
     bool const refused = learn_refusal();
-    if (!refused && result.may_have_run() && resume_from_backup(ended))
+    // A target that has refused the copy has not run the request, so the next copy is tried.
+    if (!refused && !result.may_have_run() && start_from_next_copy(charge_state::open))
+        return;
+    if (!refused && result.may_have_run() && !moving_ && has_copy(*ended)) {
+        moving_ = true;
+        asio::co_spawn(parts_.context, hand_over_lost(self_pointer{this}, ended, std::move(result)), asio::detached);
         return;
+    }
+    recover_without_copy(*ended, std::move(result));
+}
+
+void stream_exchange::recover_without_copy(stream_run& ended, send_result result) {
+    bool const refused = learn_refusal();
     auto const facts = make_attempt_facts(result);
     if (replacement_ && replacement_->replaced == ended.number && !refused) {
         start_replacement(result.reason);
@@ -650,8 +650,8 @@
 
 std::optional<forwarding::stall_rule> stream_exchange::stall_rule_of(stream_run const& current) const {
     bool const may_repeat = request_.may_run_again() && possible_runs_ + 1 < request_.route->maximum_attempts;
-    return forwarding::rule_for_stall(
-        {current.received_event, !current.backup_target.empty(), may_repeat, request_.route->latency_objective});
+    bool const began = current.received_event || current.context.resume_from;
+    return forwarding::rule_for_stall({began, has_copy(current), may_repeat, request_.route->latency_objective});
 }
 
 asio::awaitable<void> stream_exchange::watch_for_stall(self_pointer, stream_run_pointer current) {
@@ -687,16 +687,17 @@
         // The stalled run may still go on, so resuming elsewhere is a retry like others.
         if (!budget.try_spend(parts_.board.fleet.count_entries(now), now))
             co_return false;
-        auto const copy = consume_backup(*current);
-        if (!copy) {
+        if (!has_copy(*current) && next_copies_.empty()) {
             budget.give_back(now);
             co_return false;
         }
         moving_ = true;
-        bool const taken_over = co_await resume_from_copy(current, *copy, source_state::stalled);
+        bool const taken_over = co_await hand_over(current, forwarding::run_condition::stalled);
         moving_ = false;
         if (taken_over)
             parts_.placements.record_outcome(current->target, forwarding::target_outcome::failed);
+        else
+            budget.give_back(now);
         // The engine may have begun to leave meanwhile.
         on_fleet_change();
         co_return taken_over;
@@ -767,51 +768,6 @@
         parts_.connections.release(view->record.address, unused.connection, {});
 }
 
-bool stream_exchange::resume_from_backup(stream_run& ended) {
-    auto const copy = consume_backup(ended);
-    if (!copy || !charge_resumption(ended))
-        return false;
-    launch(make_resuming_run(relay_.start_successor(), ended, *copy));
-    log::write(log::event_kind::stream_recovered, {{"request", request_.caller.id},
-                                                   {"target", copy->target},
-                                                   {"reason", "backup"},
-                                                   {"last_event", relay_.last_event().value_or(0)}});
-    return true;
-}
-
-std::optional<stream_exchange::resumable_copy> stream_exchange::consume_backup(stream_run& run) {
-    // The memory is copied while the run generates, so without an event there may be no copy, and a target that does
-    // not check for it would run the request again.
-    if (!run.received_event || !may_resume(run) || !relay_.can_go_on())
-        return std::nullopt;
-    if (!parts_.board.fleet.may_receive(run.backup_target, base::clock::now()))
-        return std::nullopt;
-    // The backup is used once: when a target has refused it, the copy does not exist.
-    auto const target = std::exchange(run.backup_target, {});
-    return resumable_copy{target, {run.context.backup_address, request_.caller.id}};
-}
-
-bool stream_exchange::charge_resumption(stream_run const& source) {
-    auto const now = base::clock::now();
-    auto& budget = parts_.board.retry_budget(request_.service);
-    if (source.resumptions > 0)
-        return budget.try_spend(parts_.board.fleet.count_entries(now), now);
-    // Without the first one, the stream would be lost.
-    budget.spend(now);
-    return true;
-}
-
-stream_run_pointer stream_exchange::make_resuming_run(forwarding::run_number number, stream_run& source,
-                                                      resumable_copy const& copy) {
-    ++source.resumptions;
-    parts_.board.fleet.begin_request(copy.target, std::nullopt, base::clock::now());
-    auto started = make_run(number, copy.target);
-    started->context.resume_from = copy.memory;
-    started->context.resume_after = relay_.last_event();
-    choose_backup(*started);
-    return started;
-}
-
 void stream_exchange::fail(base::error failure, std::string_view reason) {
     log::write(log::event_kind::request_failed, {{"request", request_.caller.id},
                                                  {"reason", reason},
@@ -827,19 +783,6 @@
     wake();
 }
 
-void stream_exchange::on_fleet_change() {
-    if (moving_ || phase_ != phase::running || caller_left_ || !relay_.can_go_on())
-        return;
-    auto const active = find_run(relay_.active());
-    if (!active || !active->sent || !may_resume(*active))
-        return;
-    auto const* view = parts_.board.fleet.find(active->target);
-    if (view == nullptr || !view->leaving(base::clock::now()))
-        return;
-    moving_ = true;
-    asio::co_spawn(parts_.context, move_to_other_target(self_pointer{this}), asio::detached);
-}
-
 std::uint32_t stream_exchange::tokens_held() const {
     auto const prompt = request_.caller.size ? request_.caller.size->prompt : 0;
     return prompt + static_cast<std::uint32_t>(event_count_) * (engine_ == nullptr ? 1 : engine_->tokens_per_event);
@@ -858,141 +801,6 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-asio::awaitable<void> stream_exchange::move_to_other_target(self_pointer) {
-    std::vector<std::string> refused;
-    for (int attempt = 0; attempt < maximum_move_attempts; ++attempt) {
-        auto const source = find_run(relay_.active());
-        auto const* view = source ? parts_.board.fleet.find(source->target) : nullptr;
-        bool const movable = phase_ == phase::running && !caller_left_ && engine_ != nullptr && engine_->moves;
-        if (!movable || view == nullptr || !view->leaving(base::clock::now()) || !may_resume(*source))
-            break;
-        auto const backup = consume_backup(*source);
-        if (backup && co_await resume_from_copy(source, *backup, source_state::leaving))
-            break;
-        if (may_resume(*source) && co_await try_move(source, refused))
-            break;
-        co_await pause(move_retry_pause);
-    }
-    moving_ = false;
-}
-
-forwarding::copy_span stream_exchange::widest_copy(stream_run const& source) const {
-    auto const* view = parts_.board.fleet.find(source.target);
-    if (view == nullptr || !view->report || !view->report->leaves_in)
-        return forwarding::copy_span::same_region;
-    // A copy to another region takes the engine's link for most of the time that is left, so it is made only if no
-    // other stream has to leave too.
-    if (parts_.board.fleet.under_overload_control(request_.service) && view->report->running > 1)
-        return forwarding::copy_span::same_region;
-    auto const left = *view->report->leaves_in -
-                      std::chrono::duration_cast<base::milliseconds>(base::clock::now() - view->reported_at);
-    auto const needed = base::milliseconds{tokens_held() / wide_area_tokens_per_millisecond};
-    return needed < left ? forwarding::copy_span::other_region : forwarding::copy_span::same_region;
-}
-
-asio::awaitable<bool> stream_exchange::try_move(stream_run_pointer source, std::vector<std::string>& refused) {
-    if (!parts_.board.fleet.may_copy_from(source->target, base::clock::now()))
-        co_return false;
-    forwarding::copy_request copy;
-    copy.request = request_.placement();
-    copy.request.software_version = &source->software_version;
-    copy.request.excluded = refused;
-    copy.source = source->target;
-    copy.tokens = tokens_held() + copy_headroom_tokens;
-    copy.room_share = copy_room_share;
-    copy.widest = widest_copy(*source);
-    // The stream is lost with its engine otherwise.
-    copy.accept_unreported = true;
-    auto const chosen = parts_.board.fleet.choose_copy_holder(copy, base::clock::now());
-    if (chosen.kind != forwarding::placement_kind::placed) {
-        refused.clear();
-        co_return false;
-    }
-    auto const reservation = parts_.board.fleet.reserve_copy(chosen.target, copy.tokens, base::clock::now());
-    auto const destination = parts_.board.fleet.find(chosen.target)->record.address;
-    auto const engine = source->address;
-    // GCC 12 destroys a braced argument of an awaited call twice, so these are named.
-    copy_slot_client::slot_request slot{engine, request_.caller.id, tokens_held(), expected_remaining()};
-    co_await parts_.copy_slots.acquire_slot(std::move(slot));
-    if (source->ended || phase_ != phase::running || caller_left_) {
-        parts_.copy_slots.release_slot(engine, request_.caller.id);
-        co_return true;
-    }
-    wire::schema::PlaceRequestT message;
-    message.request = request_.caller.id;
-    message.memory_tokens = copy.tokens;
-    message.slots = parts_.board.fleet.slots_of(chosen.target);
-    auto const reply = co_await parts_.reservations.reserve(destination, std::move(message));
-    if (reply != reservation_reply::unresponsive)
-        parts_.board.fleet.release_reservation(chosen.target, reservation);
-    if (reply == reservation_reply::refused) {
-        parts_.copy_slots.release_slot(engine, request_.caller.id);
-        refused.push_back(chosen.target);
-        co_return false;
-    }
-    auto const copy_started = base::clock::now();
-    auto const connected = co_await parts_.connections.acquire(
-        source->address, request_.caller.id, target_connections::connect_timeout, unlimited_idle_time);
-    platform::copy_result copied;
-    if (connected && parts_.board.fleet.take_copy_call(source->target, base::clock::now())) {
-        platform::copy_command command{request_.caller.id, destination, false};
-        auto on_notices = parts_.notices.make_handler({source->target, source->target_started_at}, request_.caller.id);
-        copied =
-            co_await platform::copy_memory(*connected.value(), std::move(command), copy_timeout, std::move(on_notices));
-        parts_.connections.release(source->address, connected.value(), {});
-    }
-    parts_.copy_slots.release_slot(engine, request_.caller.id);
-    auto const now = base::clock::now();
-    if (copied.outcome != platform::copy_outcome::copied) {
-        if (copied.outcome == platform::copy_outcome::no_room)
-            refused.push_back(chosen.target);
-        log::write(log::event_kind::stream_copy_failed, {{"request", request_.caller.id},
-                                                         {"from", source->target},
-                                                         {"target", chosen.target},
-                                                         {"reason", platform::name_of(copied.outcome)},
-                                                         {"tokens", tokens_held()},
-                                                         {"room", describe_room(chosen.target)},
-                                                         {"duration_ms", milliseconds_since(copy_started, now)}});
-        co_return false;
-    }
-    log::write(log::event_kind::stream_copied, {{"request", request_.caller.id},
-                                                {"from", source->target},
-                                                {"target", chosen.target},
-                                                {"tokens", tokens_held()},
-                                                {"duration_ms", milliseconds_since(copy_started, now)}});
-    resumable_copy made{chosen.target, {source->address, copied.handle}};
-    bool const taken_over = co_await resume_from_copy(source, std::move(made), source_state::leaving);
-    if (!taken_over)
-        refused.push_back(chosen.target);
-    co_return taken_over;
-}
-
-asio::awaitable<bool> stream_exchange::resume_from_copy(stream_run_pointer source, resumable_copy copy,
-                                                        source_state state) {
-    bool const stalled = state == source_state::stalled;
-    if (phase_ != phase::running || caller_left_)
-        co_return true;
-    // The target may have started to leave while the copy was made.
-    if (!parts_.board.fleet.may_receive(copy.target, base::clock::now()))
-        co_return false;
-    if (!stalled && !charge_resumption(*source))
-        co_return false;
-    auto const started = make_resuming_run(relay_.start_successor(), *source, copy);
-    started->replaces_stalled = stalled;
-    launch(started);
-    while (!started->ended && relay_.active() != started->number && !caller_left_) {
-        takeover_timer_.expires_after(stalled ? takeover_timeout_when_stalled : takeover_timeout);
-        auto const [code] = co_await takeover_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
-        if (!code)
-            break;
-    }
-    bool const taken_over = relay_.active() == started->number;
-    // While no other run is left, the caller's events can only come from this one.
-    if (!taken_over && !started->ended && relay_.active() != forwarding::no_run)
-        started->cancel();
-    co_return taken_over;
-}
-
 asio::awaitable<void> stream_exchange::write_to_caller() {
     if (!head_sent_) {
         head_sent_ = true;
@@ -1038,7 +846,7 @@
     caller_left_ = true;
     cancel_others(forwarding::no_run);
     parts_.placements.on_capacity_change();
-    takeover_timer_.cancel();
+    end_timer_.cancel();
     wake();
 }
 
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -4,6 +4,7 @@
 #include "forwarding_entry/entry_parts.h"
 #include "forwarding_entry/request_context.h"
 #include "forwarding_entry/retry_gate.h"
+#include "forwarding_entry/run_stopper.h"
 #include "forwarding_entry/send_result.h"
 #include "forwarding_entry/stream_registry.h"
 #include "forwarding_entry/stream_run.h"
@@ -13,6 +14,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,8 +48,14 @@
     struct resumable_copy {
         std::string target;
         platform::memory_copy memory;
+        bool at_stopped_source{false};
+        /// Opened before the run was stopped. Null otherwise.
+        http::upstream_pointer connection;
     };
 
+    /// Whether the retry budget has been asked for a resumption.
+    enum class charge_state : std::uint8_t { open, charged };
+
     /// All that a run at another target needs: a placement, a connection and the retry budget.
     struct prepared_run {
         /// The run that is ended for it.
@@ -57,9 +65,6 @@
         retry_decision decision;
     };
 
-    /// Why a run at another target is to take over from a running one.
-    enum class source_state : std::uint8_t { leaving, stalled };
-
     // The version of the software that began the stream.
     /// Finds it for a stream that the caller takes up again. Otherwise the first event decides.
     boost::asio::awaitable<void> find_origin();
@@ -69,6 +74,8 @@
 
     // Runs.
     boost::asio::awaitable<void> start_first_run();
+    /// How long a connection may have been idle that carries the request.
+    base::milliseconds maximum_idle() const;
     void start_run_at(std::string const& target, http::upstream_pointer connection);
     stream_run_pointer make_run(forwarding::run_number number, std::string const& target);
     void launch(stream_run_pointer const& started);
@@ -95,26 +102,47 @@
     /// Whether the request is known to crash targets, so that no other one may get it.
     bool learn_refusal();
 
-    void on_end(stream_run& ended, send_result result);
-    void recover(stream_run& ended, send_result result);
-    bool resume_from_backup(stream_run& ended);
-    std::optional<resumable_copy> consume_backup(stream_run& run);
+    void on_end(stream_run_pointer ended, send_result result);
+    void recover(stream_run_pointer ended, send_result result);
+    /// Sends the request again without a copy, or ends the stream.
+    void recover_without_copy(stream_run& ended, send_result result);
+
+    // Handing a stream over from one target to another: the run is stopped first, and its request is sent to the next
+    // target only when it has ended or its target is out of reach.
+    boost::asio::awaitable<void> hand_over_lost(self_pointer self, stream_run_pointer source, send_result result);
+    /// Returns whether nothing more is to be done for the run.
+    boost::asio::awaitable<bool> hand_over(stream_run_pointer source, forwarding::run_condition condition,
+                                           http::upstream_pointer next_connection = nullptr);
+    boost::asio::awaitable<stop_answer> stop(stream_run_pointer source, forwarding::run_condition condition);
+    /// Takes the copies from which the stream may go on, the best one first.
+    std::vector<resumable_copy> take_copies(stream_run& source, std::span<forwarding::memory_place const> places,
+                                            stop_answer const& stopped, http::upstream_pointer next_connection);
+    /// IP:PORT of the engine that gets the memory of a run that is stopped.
+    std::string stop_destination(stream_run const& source) const;
+    bool has_copy(stream_run const& source) const;
+    /// Waits for what the stopped target had still sent.
+    boost::asio::awaitable<void> wait_for_end(stream_run_pointer source);
+    /// Sends the request to the first target that may get it. Returns whether it did.
+    bool start_from_next_copy(charge_state charge);
     /// Counts a resumption in the retry budget. The first one that takes over from a run needs no permission.
     bool charge_resumption(stream_run const& source);
-    stream_run_pointer make_resuming_run(forwarding::run_number number, stream_run& source, resumable_copy const& copy);
+    stream_run_pointer make_resuming_run(forwarding::run_number number, stream_run& source, resumable_copy copy);
     void on_takeover(stream_run const& successor, forwarding::stream_event const& event);
     void choose_backup(stream_run& started);
     void cancel_others(forwarding::run_number kept);
 
+    /// What the agent has to know of the end of a run.
+    run_end describe_end(stream_run const& ended, send_result const& result) const;
+
     // Moving.
     boost::asio::awaitable<void> move_to_other_target(self_pointer self);
     /// Returns how far the memory may be copied. Another region is allowed only when the copy can complete before the
     /// engine stops.
-    /// What the agent has to know of the end of a run.
-    run_end describe_end(stream_run const& ended, send_result const& result) const;
     forwarding::copy_span widest_copy(stream_run const& source) const;
     boost::asio::awaitable<bool> try_move(stream_run_pointer source, std::vector<std::string>& refused);
-    boost::asio::awaitable<bool> resume_from_copy(stream_run_pointer source, resumable_copy copy, source_state state);
+    /// Copies the memory to the chosen target while the run goes on, and then stops the run.
+    boost::asio::awaitable<bool> copy_and_hand_over(stream_run_pointer source);
+    boost::asio::awaitable<bool> copy_while_running(stream_run_pointer source);
     boost::asio::awaitable<void> pause(base::milliseconds length);
 
     // The caller.
@@ -135,7 +163,7 @@
     forwarding::engine_capacity const* engine_;
     forwarding::stream_relay relay_;
     boost::asio::steady_timer wake_timer_;
-    boost::asio::steady_timer takeover_timer_;
+    boost::asio::steady_timer end_timer_;
     phase phase_{phase::needs_run};
     std::vector<stream_run_pointer> runs_;
     std::vector<std::string> tried_targets_;
@@ -145,6 +173,9 @@
     std::string_view not_repeated_{retry_reason::final_outcome};
     /// Set when the running attempt was ended for it.
     std::optional<prepared_run> replacement_;
+    /// The run that was stopped last, and the copies of its memory that were not used yet.
+    stream_run_pointer stopped_run_;
+    std::vector<resumable_copy> next_copies_;
     std::optional<http::response_head> head_;
     bool head_sent_{false};
     std::string pending_output_;
@@ -155,6 +186,7 @@
     base::time_point last_event_at_{};
     base::milliseconds longest_gap_{};
     std::uint32_t takeovers_{0};
+    /// The stream is being handed over to another target.
     bool moving_{false};
     /// Set once the request is known to crash targets.
     std::optional<poison::refusal> refusal_;
--- a/Libraries/forwarding_entry/stream_run.h
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -3,6 +3,7 @@
 #include "base/byte_budget.h"
 #include "forwarding/event_splitter.h"
 #include "forwarding/stream_relay.h"
+#include "forwarding_entry/send_result.h"
 #include "http/upstream_connection.h"
 #include "platform/request_headers.h"
 
@@ -39,8 +40,19 @@
     std::uint32_t resumptions{0};
     /// Null before the connection is established and after the run has ended.
     http::upstream_pointer connection;
-    /// Ends the run that it resumes as soon as the target has accepted it, because that run has stalled.
-    bool replaces_stalled{false};
+    /// Goes on at the target that was stopped, which takes nothing else if it leaves.
+    bool at_stopped_source{false};
+    /// Target to which the memory is moved, and its IP:PORT. Empty unless the run's target leaves.
+    std::string copy_target;
+    std::string copy_destination;
+    /// A copy that was made there while the run went on.
+    std::optional<platform::memory_copy> copy;
+    /// The target was asked to stop the run, so the end of its connection is no sign of a crash.
+    bool stop_asked{false};
+    /// The answer to that call is awaited. What follows from the run's end is decided with it.
+    bool stopping{false};
+    /// How the run ended while it was stopped.
+    std::optional<send_result> end_while_stopping;
     /// Opened before the run was placed. Otherwise the run opens its own.
     http::upstream_pointer prepared_connection;
     /// Runs while the run does. Cancelled at its end.
--- a/Libraries/log/event_kind.cpp
+++ b/Libraries/log/event_kind.cpp
@@ -82,6 +82,7 @@
     {target_recovered, 621, info, "target_recovered"},
     {run_sent, 827, info, "run_sent"},
     {run_ended, 828, info, "run_ended"},
+    {run_stopped, 829, info, "run_stopped"},
 }};
 
 } // namespace
--- a/Libraries/log/event_kind.h
+++ b/Libraries/log/event_kind.h
@@ -83,8 +83,9 @@
     target_recovered,
     run_sent,
     run_ended,
+    run_stopped,
 };
-inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::run_ended) + 1;
+inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::run_stopped) + 1;
 
 /// Number, level and name of one kind of event.
 struct event_definition {
--- a/Tests/platform/engine_calls_test.cpp
+++ b/Tests/platform/engine_calls_test.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -18,7 +20,7 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-std::string const copied = "HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n{\"handle\":\"h\",\"createRev\":3}";
+std::string const copied_answer = "HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n{\"handle\":\"h\",\"createRev\":3}";
 std::string const late = "HTTP/1.1 503 Busy\r\nX-Request-Id: other\r\nContent-Length: 2\r\n\r\nno";
 
 struct outcome {
@@ -26,11 +28,11 @@
     bool reusable{false};
 };
 
-asio::awaitable<void> copy(http::upstream_pointer connection, outcome& seen) {
+asio::awaitable<void> copy(http::upstream_pointer connection, outcome& seen, base::milliseconds timeout) {
     if (!co_await connection->connect(1000ms))
         co_return;
-    platform::copy_command command{"run", "127.0.0.1:9", false};
-    seen.result = co_await platform::copy_memory(*connection, std::move(command), 1000ms);
+    platform::copy_command command{"run", "127.0.0.1:9", true};
+    seen.result = co_await platform::copy_memory(*connection, std::move(command), timeout);
     seen.reusable = connection->reusable();
 }
 
@@ -39,6 +41,7 @@
 class engine_calls_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(engine_calls_test);
     CPPUNIT_TEST(late_answers_to_requests_are_no_answers_to_calls);
+    CPPUNIT_TEST(a_run_counts_as_stopped_only_by_an_answer_that_says_so);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,24 +55,68 @@
             bool reusable;
         };
         std::vector<row> const table{
-            {"own answer", copied, platform::copy_outcome::copied, true},
-            {"after a late one", late + copied, platform::copy_outcome::copied, false},
+            {"own answer", copied_answer, platform::copy_outcome::copied, true},
+            {"after a late one", late + copied_answer, platform::copy_outcome::copied, false},
         };
         for_each_row(table, [](row const& tested) {
-            asio::io_context context;
-            tcp::acceptor acceptor{context, {asio::ip::address_v4::loopback(), 0}};
-            http::upstream_pointer const connection{
-                new http::upstream_connection{context.get_executor(), acceptor.local_endpoint()}};
-            outcome seen;
-            tcp::socket peer{context};
-            acceptor.async_accept(peer,
-                                  [&](boost::system::error_code) { asio::write(peer, asio::buffer(tested.bytes)); });
-            asio::co_spawn(context, copy(connection, seen), asio::detached);
-            context.run_for(3s);
+            auto const seen = call_engine(tested.bytes, false);
             CPPUNIT_ASSERT_EQUAL(platform::name_of(tested.expected), platform::name_of(seen.result.outcome));
             CPPUNIT_ASSERT_EQUAL(tested.reusable, seen.reusable);
         });
     }
+
+    // Guards against a stream that goes on elsewhere because a failed call was taken for the end of its run.
+    void a_run_counts_as_stopped_only_by_an_answer_that_says_so() {
+        struct row {
+            char const* name;
+            std::string bytes;
+            bool closes;
+            platform::copy_outcome expected;
+            char const* handle;
+        };
+        using enum platform::copy_outcome;
+        std::vector<row> const table{
+            {"copied", copied_answer, false, copied, "h"},
+            {"copied, but without a handle", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", false, failed, ""},
+            {"stopped, no room", "HTTP/1.1 503 Full\r\nContent-Length: 14\r\n\r\n{\"handle\":\"h\"}", false, no_room,
+             "h"},
+            {"refused", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", false, no_room, ""},
+            {"not there", "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", false, not_running, ""},
+            {"another call is under way", "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n", false, busy, ""},
+            {"error", "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n", false, failed, ""},
+            {"connection ends before the answer", "", true, connection_lost, ""},
+            {"connection ends in the head", copied_answer.substr(0, 20), true, connection_lost, ""},
+            {"connection ends in the body", copied_answer.substr(0, copied_answer.size() - 4), true, connection_lost,
+             ""},
+            {"no answer", "", false, unanswered, ""},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto const seen = call_engine(tested.bytes, tested.closes);
+            CPPUNIT_ASSERT_EQUAL(platform::name_of(tested.expected), platform::name_of(seen.result.outcome));
+            CPPUNIT_ASSERT_EQUAL(std::string{tested.handle}, seen.result.handle);
+        });
+    }
+
+private:
+    static outcome call_engine(std::string const& answer, bool closes) {
+        asio::io_context context;
+        tcp::acceptor acceptor{context, {asio::ip::address_v4::loopback(), 0}};
+        http::upstream_pointer const connection{
+            new http::upstream_connection{context.get_executor(), acceptor.local_endpoint()}};
+        outcome seen;
+        tcp::socket peer{context};
+        asio::streambuf received;
+        acceptor.async_accept(peer, [&](boost::system::error_code) {
+            asio::async_read_until(peer, received, "}", [&](boost::system::error_code, std::size_t) {
+                asio::write(peer, asio::buffer(answer));
+                if (closes)
+                    peer.close();
+            });
+        });
+        asio::co_spawn(context, copy(connection, seen, 500ms), asio::detached);
+        context.run_for(1s);
+        return seen;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(engine_calls_test);
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -412,24 +412,23 @@
     bool const works_on = happens(faults_.works_on);
     if (stalled)
         observer_.on_break_off(request);
+    auto const stopped = [&] { return incarnation != incarnation_ || runs_[request].stopped; };
     for (auto event = first; event <= total && ((sound && *open) || works_on); ++event) {
-        while (stalled && event > first && incarnation == incarnation_ && ((sound && *open) || works_on) &&
-               !runs_[request].stopped) {
+        while (stalled && event > first && !stopped() && ((sound && *open) || works_on)) {
             sound = static_cast<bool>(co_await client->send_chunk(":"));
             co_await pause(stalled_byte_interval);
         }
         if (paused && event == first + 1)
             co_await pause(event_pause);
+        if (stopped())
+            break;
         auto const text = "id: " + std::to_string(event) + "\ndata: " + request + ":" + std::to_string(event) + "\n" +
                           std::string{version_mark} + version + "\n\n";
         if (sound && *open)
             sound = static_cast<bool>(co_await client->send_chunk(text));
         co_await pause(event_interval);
-        if (incarnation != incarnation_ || runs_[request].stopped) {
-            end_work(request, incarnation);
-            client->close();
-            co_return;
-        }
+        if (stopped())
+            break;
         runs_[request].tokens += tokens_per_event;
         ++runs_[request].events;
         if (broken_off && event == 2) {
@@ -438,8 +437,9 @@
             client->close();
         }
     }
+    bool const complete = sound && *open && !stopped();
     end_work(request, incarnation);
-    if (!sound || !*open || incarnation != incarnation_) {
+    if (!complete) {
         client->close();
         co_return;
     }
