Open a hand-over's connections while the memory is copied, and keep its copies

In the logs, the call that stops a run waited 300 ms for a new connection over a lossy link, because the connection of the first copy may not carry a second call of the request, and the copy slot was held meanwhile; and a run that was lost while another copy of it was tried did not go on from the copy that it had.

Both connections are now opened while the first copy is made, and a run is stopped only when both are open. A lost run goes on from its copies in any case, and the copy keeps the target that holds it when another destination is tried.

--- a/Libraries/forwarding_entry/run_stopper.cpp
+++ b/Libraries/forwarding_entry/run_stopper.cpp
@@ -54,21 +54,24 @@
     for (int call = 0; call < maximum_calls; ++call) {
         if (parts.board.fleet.has_newer_incarnation(wanted.address, wanted.target_started_at))
             co_return stop_answer{stop_outcome::ended, {}};
-        auto const connected = co_await parts.connections.acquire(wanted.address, wanted.request,
-                                                                  target_connections::connect_timeout, idle);
-        if (!connected) {
-            bool const refused = connected.error().kind == base::error_kind::link_lost;
-            co_return stop_answer{refused ? stop_outcome::ended : stop_outcome::unreachable, {}};
+        auto connection = std::exchange(wanted.connection, nullptr);
+        if (!connection) {
+            auto const connected = co_await parts.connections.acquire(wanted.address, wanted.request,
+                                                                      target_connections::connect_timeout, idle);
+            if (!connected) {
+                bool const refused = connected.error().kind == base::error_kind::link_lost;
+                co_return stop_answer{refused ? stop_outcome::ended : stop_outcome::unreachable, {}};
+            }
+            connection = connected.value();
         }
         if (!parts.board.fleet.take_copy_call(wanted.target, base::clock::now())) {
-            parts.connections.release(wanted.address, connected.value(), {});
+            parts.connections.release(wanted.address, connection, {});
             break;
         }
         platform::copy_command command{wanted.request, wanted.destination, true};
         auto on_notices = parts.notices.make_handler({wanted.target, wanted.target_started_at}, wanted.request);
-        result =
-            co_await platform::copy_memory(*connected.value(), std::move(command), stop_timeout, std::move(on_notices));
-        parts.connections.release(wanted.address, connected.value(), {});
+        result = co_await platform::copy_memory(*connection, std::move(command), stop_timeout, std::move(on_notices));
+        parts.connections.release(wanted.address, connection, {});
         if (result.outcome == platform::copy_outcome::connection_lost) {
             // The target may have ended, or have closed a connection that was idle.
             idle = new_connection;
--- a/Libraries/forwarding_entry/run_stopper.h
+++ b/Libraries/forwarding_entry/run_stopper.h
@@ -20,6 +20,8 @@
     std::string address;
     /// IP:PORT of the engine that gets the memory of the run.
     std::string destination;
+    /// To the target. Another one is opened if it is null.
+    http::upstream_pointer connection;
 };
 
 struct stop_answer {
--- a/Libraries/forwarding_entry/stream_exchange.cpp
+++ b/Libraries/forwarding_entry/stream_exchange.cpp
@@ -587,8 +587,7 @@
     // A target that has refused the copy has not run the request, so the next copy is tried.
     if (!refused && !result.may_have_run() && start_from_next_copy(charge_state::open))
         return;
-    if (!refused && result.may_have_run() && !moving_ && has_copy(*ended)) {
-        moving_ = true;
+    if (!refused && result.may_have_run() && has_copy(*ended)) {
         asio::co_spawn(parts_.context, hand_over_lost(self_pointer{this}, ended, std::move(result)), asio::detached);
         return;
     }
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -111,12 +111,11 @@
     // target only when it has ended or its target is out of reach.
     boost::asio::awaitable<void> hand_over_lost(self_pointer self, stream_run_pointer source, send_result result);
     /// Returns whether nothing more is to be done for the run.
-    boost::asio::awaitable<bool> hand_over(stream_run_pointer source, forwarding::run_condition condition,
-                                           http::upstream_pointer next_connection = nullptr);
+    boost::asio::awaitable<bool> hand_over(stream_run_pointer source, forwarding::run_condition condition);
     boost::asio::awaitable<stop_answer> stop(stream_run_pointer source, forwarding::run_condition condition);
     /// Takes the copies from which the stream may go on, the best one first.
     std::vector<resumable_copy> take_copies(stream_run& source, std::span<forwarding::memory_place const> places,
-                                            stop_answer const& stopped, http::upstream_pointer next_connection);
+                                            stop_answer const& stopped);
     /// IP:PORT of the engine that gets the memory of a run that is stopped.
     std::string stop_destination(stream_run const& source) const;
     bool has_copy(stream_run const& source) const;
@@ -143,6 +142,9 @@
     /// Copies the memory to the chosen target while the run goes on, and then stops the run.
     boost::asio::awaitable<bool> copy_and_hand_over(stream_run_pointer source);
     boost::asio::awaitable<bool> copy_while_running(stream_run_pointer source);
+    /// Opens the connections that a hand-over needs, so that their round trips are no pause of the stream.
+    boost::asio::awaitable<void> open_connections(self_pointer self, stream_run_pointer source);
+    void release_connections(stream_run& source);
     boost::asio::awaitable<void> pause(base::milliseconds length);
 
     // The caller.
--- a/Libraries/forwarding_entry/stream_handover.cpp
+++ b/Libraries/forwarding_entry/stream_handover.cpp
@@ -33,6 +33,7 @@
 constexpr base::milliseconds tail_timeout{200};
 constexpr base::milliseconds move_retry_pause{40};
 constexpr int maximum_move_attempts = 40;
+constexpr base::milliseconds opening_check_interval{2};
 // Tokens that a request generates while its memory is copied.
 constexpr std::uint32_t copy_headroom_tokens = 200;
 // The TCP window limits a copy between regions, not the engines' links. No other copy uses the link meanwhile.
@@ -79,8 +80,9 @@
     // Without the call, closing the connection is all that can be done.
     stop_answer answer{stop_outcome::unreachable, {}};
     if (engine_ != nullptr && engine_->moves) {
-        stop_request wanted{request_.caller.id, source->target, source->target_started_at, source->address,
-                            stop_destination(*source)};
+        stop_request wanted{request_.caller.id,        source->target,
+                            source->target_started_at, source->address,
+                            stop_destination(*source), std::exchange(source->stop_connection, nullptr)};
         answer = co_await stop_run(parts_, std::move(wanted));
     }
     // The run goes on, and its end is judged like any other.
@@ -103,37 +105,33 @@
     }
 }
 
-std::vector<stream_exchange::resumable_copy> stream_exchange::take_copies(stream_run& source,
-                                                                          std::span<memory_place const> places,
-                                                                          stop_answer const& stopped,
-                                                                          http::upstream_pointer next_connection) {
+std::vector<stream_exchange::resumable_copy>
+stream_exchange::take_copies(stream_run& source, std::span<memory_place const> places, stop_answer const& stopped) {
     std::vector<resumable_copy> taken;
     auto earlier = std::exchange(next_copies_, {});
     auto const made = std::exchange(source.copy, std::nullopt);
     auto const backup_target = std::exchange(source.backup_target, {});
+    auto const& destination = source.copy_target.empty() ? backup_target : source.copy_target;
     platform::memory_copy const own{source.address, stopped.handle};
     for (auto const place : places) {
         switch (place) {
         case memory_place::destination:
-            if (!source.copy_target.empty() || !backup_target.empty())
-                taken.push_back({source.copy_target.empty() ? backup_target : source.copy_target, own, false,
-                                 std::exchange(next_connection, nullptr)});
+            if (!destination.empty())
+                taken.push_back({destination, own, false, std::exchange(source.next_connection, nullptr)});
             break;
         case memory_place::source:
             taken.push_back({source.target, own, true, nullptr});
             break;
         case memory_place::earlier_copy:
-            // The copy that was made before is part of the one that the call has completed.
-            if (made && stopped.outcome != stop_outcome::moved)
-                taken.push_back({source.copy_target, *made, false, std::exchange(next_connection, nullptr)});
+            // A copy that was made before at the destination is part of the one that the call has completed.
+            if (made && !(stopped.outcome == stop_outcome::moved && source.copy_holder == destination))
+                taken.push_back({source.copy_holder, *made, false, nullptr});
             if (!backup_target.empty() && source.received_event)
                 taken.push_back({backup_target, {source.context.backup_address, request_.caller.id}, false, nullptr});
             std::ranges::move(earlier, std::back_inserter(taken));
             break;
         }
     }
-    if (next_connection)
-        next_connection->close();
     return taken;
 }
 
@@ -159,29 +157,23 @@
     return false;
 }
 
-asio::awaitable<bool> stream_exchange::hand_over(stream_run_pointer source, run_condition condition,
-                                                 http::upstream_pointer next_connection) {
+asio::awaitable<bool> stream_exchange::hand_over(stream_run_pointer source, run_condition condition) {
     source->stopping = true;
     auto const answer = co_await stop(source, condition);
     bool const stopped = was_stopped(answer.outcome);
     if (stopped)
         co_await wait_for_end(source);
     source->stopping = false;
-    if (phase_ != phase::running || caller_left_) {
-        if (next_connection)
-            next_connection->close();
+    if (phase_ != phase::running || caller_left_)
         co_return true;
-    }
     // The connection may have ended while the target was asked.
     auto const seen = source->ended && !stopped ? run_condition::lost : condition;
     if (auto const places = forwarding::places_to_go_on(answer.outcome, seen); !places.empty()) {
-        next_copies_ = take_copies(*source, places, answer, std::move(next_connection));
+        next_copies_ = take_copies(*source, places, answer);
         stopped_run_ = source;
         auto const charge = condition == run_condition::stalled ? charge_state::charged : charge_state::open;
         if (start_from_next_copy(charge))
             co_return true;
-    } else if (next_connection) {
-        next_connection->close();
     }
     if (!source->end_while_stopping)
         co_return false;
@@ -191,7 +183,6 @@
 
 asio::awaitable<void> stream_exchange::hand_over_lost(self_pointer, stream_run_pointer source, send_result result) {
     bool const done = co_await hand_over(source, run_condition::lost);
-    moving_ = false;
     if (!done) {
         recover_without_copy(*source, std::move(result));
     } else if (relay_.successor() != forwarding::no_run) {
@@ -318,20 +309,44 @@
 asio::awaitable<bool> stream_exchange::copy_and_hand_over(stream_run_pointer source) {
     // In a hold-off, the target takes few calls. The call that stops the run copies its memory too.
     bool const copy_first = !parts_.board.fleet.held_off(source->target, base::clock::now());
-    if (copy_first && !co_await copy_while_running(source))
-        co_return false;
-    // The run is not stopped for a target that cannot be reached.
-    auto const connected = co_await parts_.connections.acquire(source->copy_destination, request_.caller.id,
-                                                               target_connections::connect_timeout, maximum_idle());
-    if (!connected)
-        co_return false;
-    // The target may have started to leave while the copy was made.
-    bool const usable = parts_.board.fleet.may_receive(source->copy_target, base::clock::now());
-    if (!usable || source->ended || phase_ != phase::running || caller_left_) {
-        parts_.connections.release(source->copy_destination, connected.value(), {});
-        co_return usable;
+    source->opening = true;
+    asio::co_spawn(parts_.context, open_connections(self_pointer{this}, source), asio::detached);
+    bool const copied = !copy_first || co_await copy_while_running(source);
+    while (source->opening)
+        co_await pause(opening_check_interval);
+    // The run is not stopped unless both targets can be reached. The next one may have started to leave meanwhile.
+    bool const usable =
+        copied && source->next_connection && parts_.board.fleet.may_receive(source->copy_target, base::clock::now());
+    bool const wanted = !source->ended && phase_ == phase::running && !caller_left_;
+    bool handed_over = false;
+    if (usable && wanted)
+        handed_over = co_await hand_over(source, run_condition::leaving);
+    release_connections(*source);
+    co_return handed_over || !wanted;
+}
+
+asio::awaitable<void> stream_exchange::open_connections(self_pointer, stream_run_pointer source) {
+    auto const& id = request_.caller.id;
+    constexpr auto timeout = target_connections::connect_timeout;
+    auto const stopping = co_await parts_.connections.acquire(source->address, id, timeout, maximum_idle());
+    auto const next = co_await parts_.connections.acquire(source->copy_destination, id, timeout, maximum_idle());
+    source->opening = false;
+    if (stopping && next) {
+        source->stop_connection = stopping.value();
+        source->next_connection = next.value();
+        co_return;
     }
-    co_return co_await hand_over(source, run_condition::leaving, connected.value());
+    if (stopping)
+        parts_.connections.release(source->address, stopping.value(), {});
+    if (next)
+        parts_.connections.release(source->copy_destination, next.value(), {});
+}
+
+void stream_exchange::release_connections(stream_run& source) {
+    if (auto const unused = std::exchange(source.stop_connection, nullptr))
+        parts_.connections.release(source.address, unused, {});
+    if (auto const unused = std::exchange(source.next_connection, nullptr))
+        parts_.connections.release(source.copy_destination, unused, {});
 }
 
 asio::awaitable<bool> stream_exchange::copy_while_running(stream_run_pointer source) {
@@ -362,6 +377,7 @@
                                                 {"tokens", tokens_held()},
                                                 {"duration_ms", milliseconds_since(copy_started)}});
     source->copy = platform::memory_copy{source->address, copied.handle};
+    source->copy_holder = source->copy_target;
     co_return true;
 }
 
--- a/Libraries/forwarding_entry/stream_run.h
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -45,8 +45,14 @@
     /// Target to which the memory is moved, and its IP:PORT. Empty unless the run's target leaves.
     std::string copy_target;
     std::string copy_destination;
-    /// A copy that was made there while the run went on.
+    /// The last copy that was made while the run went on, and the target that holds it.
+    std::string copy_holder;
     std::optional<platform::memory_copy> copy;
+    /// Connections to the run's target and to the next one, which are opened while the memory is copied. Both are null
+    /// unless both are open.
+    http::upstream_pointer stop_connection;
+    http::upstream_pointer next_connection;
+    bool opening{false};
     /// The target was asked to stop the run, so the end of its connection is no sign of a crash.
     bool stop_asked{false};
     /// The answer to that call is awaited. What follows from the run's end is decided with it.
