Test streams and calls that come late in the grace time

Reported by another operator: in a planned stop, requests that came late in the grace time were taken and passed on, and cut without an answer at its end. The tests had late plain calls only. Streams whose last byte arrives 2.9, 4.5 and 7 s after the SIGTERM, over connections from before it and from its first seconds, are refused with 503, a time to return and no run; of two calls sent together 6 s after it, none is passed on and left without an answer. Both pass on the present code, so no logic is changed.

--- a/Libraries/trace/stream_runs.cpp
+++ b/Libraries/trace/stream_runs.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <sstream>
-#include <utility>
 
 namespace cyclamenledge::trace {
 
@@ -11,17 +10,13 @@
     // Another entry numbers its runs of a request itself.
     std::vector<std::string> processes;
     for (auto const& [since_first, line, of_request] : path) {
-        std::string number{line.field("run")};
+        std::string const number{line.field("run")};
         if (!of_request || number.empty())
             continue;
         if (line.event == "run_sent") {
             processes.push_back(line.process);
-            runs.push_back({std::move(number),
-                            std::string{line.field("target")},
-                            std::string{line.field("from")},
-                            since_first,
-                            {},
-                            {}});
+            runs.push_back(
+                {number, std::string{line.field("target")}, std::string{line.field("from")}, since_first, {}, {}});
         }
         if (line.event != "run_ended")
             continue;
--- a/Tests/process/planned_stop/planned_stop_test.cpp
+++ b/Tests/process/planned_stop/planned_stop_test.cpp
@@ -55,9 +55,9 @@
         send_rest(unsent_.size());
     }
     /// Sends a call but for its last byte.
-    void send_part(std::string const& id, std::string const& path) {
+    void send_part(std::string const& id, std::string const& path, std::uint32_t prompt_tokens = 0) {
         held_back_ = 1;
-        send(id, path);
+        send(id, path, prompt_tokens);
     }
     void send_rest() {
         held_back_ = 0;
@@ -180,6 +180,8 @@
 class planned_stop_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(planned_stop_test);
     CPPUNIT_TEST(late_calls_on_accepted_connections_are_answered);
+    CPPUNIT_TEST(late_streams_are_refused);
+    CPPUNIT_TEST(calls_sent_together_late_are_answered);
     CPPUNIT_TEST(idle_kept_connections_are_closed_before_the_process_ends);
     CPPUNIT_TEST(request_that_arrives_while_the_process_ends_is_refused);
     CPPUNIT_TEST(queued_requests_are_refused_before_the_process_ends);
@@ -206,6 +208,62 @@
         });
     }
 
+    // Guards against a stream that is taken late in the grace time and cut off at its end.
+    void late_streams_are_refused() {
+        struct row {
+            char const* name;
+            /// From the SIGTERM until the caller sends all but the last byte.
+            std::chrono::milliseconds begun_after;
+            std::chrono::milliseconds sent_after;
+        };
+        std::vector<row> const table{
+            {"sent since before the stop", 0ms, 2900ms},
+            {"soon after the last accepted streams", last_connection, 2900ms},
+            {"in the middle of the grace time", last_connection, 4500ms},
+            {"at the end of the grace time", 4300ms, 7000ms},
+        };
+        for_each_row(table, [](row const& tested) {
+            platform_world world{one_entry()};
+            long_stream const stream{world};
+            caller_connection early{world};
+            if (tested.begun_after == 0ms)
+                early.send_part("late", "/gen/600", 100);
+            auto const stopped_at = base::clock::now();
+            stop_entry(world);
+            std::this_thread::sleep_until(stopped_at + last_connection);
+            caller_connection connected_late{world};
+            auto& used = tested.begun_after == 0ms ? early : connected_late;
+            std::this_thread::sleep_until(stopped_at + tested.begun_after);
+            if (tested.begun_after > 0ms)
+                used.send_part("late", "/gen/600", 100);
+            std::this_thread::sleep_until(stopped_at + tested.sent_after);
+            used.send_rest();
+            CPPUNIT_ASSERT_EQUAL(503U, used.read_answer());
+            CPPUNIT_ASSERT(!used.return_time().empty());
+            CPPUNIT_ASSERT_EQUAL(0U, world.act([&] { return world.ledger().find("late")->runs; }));
+            CPPUNIT_ASSERT_EQUAL(0, entry_of(world).wait_for_exit().value_or(-1));
+        });
+    }
+
+    // Guards against the second of two calls sent together that is taken and cut off at the end of the grace time.
+    void calls_sent_together_late_are_answered() {
+        platform_world world{one_entry()};
+        long_stream const stream{world};
+        caller_connection caller{world};
+        stop_entry(world);
+        std::this_thread::sleep_for(6000ms);
+        // The connection was idle and may have been closed; a call that crosses the close is not passed on.
+        caller.send("first", "/order/slow/10");
+        caller.send("second", "/order/slow/10");
+        for (std::string const request : {"first", "second"}) {
+            auto const status = caller.read_answer();
+            auto const runs = world.act([&] { return world.ledger().find(request)->runs; });
+            CPPUNIT_ASSERT_MESSAGE(request + ": " + std::to_string(status) + ", " + std::to_string(runs) + " runs",
+                                   status != 0 || runs == 0);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, entry_of(world).wait_for_exit().value_or(-1));
+    }
+
     void idle_kept_connections_are_closed_before_the_process_ends() {
         platform_world world{one_entry()};
         long_stream const stream{world};
