Let a stopped target go on with its run only while it may get requests

A target whose last copy is refused by the next one keeps the memory, and the stream went on there whatever its state: also long after it was known to leave, in a hold-off, or in an evacuated domain. Now the stream goes on there only without a hold-off or an evacuation, and at most 1.5 s after its move began, because a leaving target must get nothing 2.5 s after the metadata store told of it. Otherwise the copy that was made before the stop is used.

--- a/Libraries/forwarding/attempt_policy.h
+++ b/Libraries/forwarding/attempt_policy.h
@@ -63,8 +63,7 @@
 };
 
 enum class stall_action : std::uint8_t {
-    /// A run that resumes from the replica is started beside the stalled one, which goes on until the other one has
-    /// made an event.
+    /// The run is stopped, and the stream goes on from its memory or from the replica.
     resume_from_backup,
     /// The run is ended for one at another target, as soon as that is certain to be sent.
     replace,
--- a/Libraries/forwarding/stream_relay.h
+++ b/Libraries/forwarding/stream_relay.h
@@ -36,7 +36,8 @@
 public:
     /// Starts the first run of the request, or one that replaces a failed run.
     run_number start_run();
-    /// Starts a run that will take over from the active one, which continues until then.
+    /// Starts a run that will take over from the active one, which makes no event more but may have sent some that have
+    /// not arrived.
     run_number start_successor();
 
     event_verdict on_event(run_number run, std::optional<std::uint64_t> id);
--- a/Libraries/forwarding_entry/stream_exchange.h
+++ b/Libraries/forwarding_entry/stream_exchange.h
@@ -23,7 +23,7 @@
 namespace cyclamenledge::forwarding_entry {
 
 /// Serves one request whose answer is a stream of events. When the engine of a run leaves, the request's memory is
-/// copied to another engine, and a run there resumes the stream.
+/// copied to another engine, the run is stopped, and a run at the other engine resumes the stream.
 class stream_exchange : public boost::intrusive_ref_counter<stream_exchange>, public stream_hook {
 public:
     stream_exchange(entry_parts& parts, request_context request);
@@ -122,6 +122,8 @@
     bool has_copy(stream_run const& source) const;
     /// Waits for what the stopped target had still sent.
     boost::asio::awaitable<void> wait_for_end(stream_run_pointer source);
+    /// Whether the target that was stopped may go on with its run.
+    bool may_return_to_source(stream_run const& source) const;
     /// Sends the request to the first target that may get it. Returns whether it did.
     bool start_from_next_copy(charge_state charge);
     /// Counts a resumption in the retry budget. The first one that takes over from a run needs no permission.
--- a/Libraries/forwarding_entry/stream_handover.cpp
+++ b/Libraries/forwarding_entry/stream_handover.cpp
@@ -38,6 +38,9 @@
 constexpr base::milliseconds move_retry_pause{40};
 constexpr int maximum_move_attempts = 40;
 constexpr base::milliseconds opening_check_interval{2};
+// A leaving target gets no request 2.5 s after it was known to leave. The metadata store may have told it before this
+// process began to move its streams.
+constexpr base::milliseconds time_to_return{1500};
 // Tokens that a request generates while its memory is copied.
 constexpr std::uint32_t copy_headroom_tokens = 200;
 // The TCP window limits a copy between regions, not the engines' links. No other copy uses the link meanwhile.
@@ -139,13 +142,25 @@
     return taken;
 }
 
+bool stream_exchange::may_return_to_source(stream_run const& source) const {
+    auto const now = base::clock::now();
+    auto const& fleet = parts_.board.fleet;
+    auto const* view = fleet.find(source.target);
+    if (view == nullptr || fleet.held_off(source.target, now) || fleet.evacuated(view->record.failure_domain))
+        return false;
+    if (!view->leaving(now))
+        return true;
+    return source.leaving_since && now - *source.leaving_since < time_to_return;
+}
+
 bool stream_exchange::start_from_next_copy(charge_state charge) {
     while (!next_copies_.empty()) {
         auto copy = std::move(next_copies_.front());
         next_copies_.erase(next_copies_.begin());
         if (!stopped_run_ || !may_resume(*stopped_run_) || !relay_.can_go_on())
             return false;
-        bool const usable = copy.at_stopped_source || parts_.board.fleet.may_receive(copy.target, base::clock::now());
+        bool const usable = copy.at_stopped_source ? may_return_to_source(*stopped_run_)
+                                                   : parts_.board.fleet.may_receive(copy.target, base::clock::now());
         if (!usable) {
             if (copy.connection)
                 copy.connection->close();
@@ -189,9 +204,9 @@
     bool const done = co_await hand_over(source, run_condition::lost);
     if (!done) {
         recover_without_copy(*source, std::move(result));
-    } else if (relay_.successor() != forwarding::no_run) {
+    } else if (auto const next = find_run(relay_.successor())) {
         log::write(log::event_kind::stream_recovered, {{"request", request_.caller.id},
-                                                       {"target", find_run(relay_.successor())->target},
+                                                       {"target", next->target},
                                                        {"reason", "backup"},
                                                        {"last_event", relay_.last_event().value_or(0)}});
     }
@@ -214,6 +229,8 @@
     parts_.board.fleet.begin_request(copy.target, std::nullopt, base::clock::now());
     auto started = make_run(number, copy.target);
     started->at_stopped_source = copy.at_stopped_source;
+    if (copy.at_stopped_source)
+        started->leaving_since = source.leaving_since;
     started->prepared_connection = std::move(copy.connection);
     started->context.resume_from = std::move(copy.memory);
     started->context.resume_after = relay_.last_event();
@@ -230,6 +247,8 @@
     auto const* view = parts_.board.fleet.find(active->target);
     if (view == nullptr || !view->leaving(base::clock::now()))
         return;
+    if (!active->leaving_since)
+        active->leaving_since = base::clock::now();
     moving_ = true;
     asio::co_spawn(parts_.context, move_to_other_target(self_pointer{this}), asio::detached);
 }
--- a/Libraries/forwarding_entry/stream_run.h
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -42,6 +42,8 @@
     http::upstream_pointer connection;
     /// Goes on at the target that was stopped, which takes nothing else if it leaves.
     bool at_stopped_source{false};
+    /// When this process began to move the run off its leaving target.
+    std::optional<base::time_point> leaving_since;
     /// Target to which the memory is moved, and its IP:PORT. Empty unless the run's target leaves.
     std::string copy_target;
     std::string copy_destination;
--- a/Tests/process/overlapping_runs/overlapping_runs_test.cpp
+++ b/Tests/process/overlapping_runs/overlapping_runs_test.cpp
@@ -36,6 +36,7 @@
         check({
             {"late first event of the next engine", {.resumption_delay = milliseconds{700}}, true},
             {"engines work on after their connections are closed", {.works_on = 1}, true},
+            {"the next engines refuse the last copy", {.last_copy_refused = 1}, true},
         });
     }
 
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -482,7 +482,7 @@
         co_return;
     }
     bool const refused = destination == directory_.end() || !destination->second->up_ || happens(0.05) ||
-                         destination->second->happens(destination->second->faults_.copy_room_refused);
+                         (stops && destination->second->happens(destination->second->faults_.last_copy_refused));
     auto const name = "copy-" + std::to_string(random_.next());
     if (!refused)
         destination->second->copies_[name] = request;
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -86,8 +86,8 @@
     double works_on{0};
     /// From the acceptance of a generation that goes on from a copy to its first event, beside the usual time.
     base::milliseconds resumption_delay{0};
-    /// Refuses copies of memory from other targets.
-    double copy_room_refused{0};
+    /// Refuses the last copy of a stopped run's memory from another target.
+    double last_copy_refused{0};
 };
 
 /// Plain calls that take longer than the others.
