Let only the soak's engines refuse the last copy of a stopped run

The stand-in refused one in twenty copies at random, also the last one of a stopped run, which then went on at its source, so the trace shows that the entry did what it should.

Random refusals of the last copy are now a fault that the soak sets at every engine; copies of running generations are refused as before.

--- a/Development/soak/fault_plan.cpp
+++ b/Development/soak/fault_plan.cpp
@@ -291,6 +291,7 @@
                                                                             {.unproven = 0.3},
                                                                             {.stalled = 0.3}}};
     auto harmed = kinds.at(random_.below(kinds.size()));
+    harmed.last_copy_refused = site.usual.last_copy_refused;
     harmed.works_on = site.usual.works_on;
     harmed.resumption_delay = site.usual.resumption_delay;
     site.target->set_faults(harmed);
--- a/Development/soak/main.cpp
+++ b/Development/soak/main.cpp
@@ -64,6 +64,7 @@
 constexpr base::seconds fault_phase{6};
 // From the acceptance of a generation that goes on from a copy to its first event, in milliseconds.
 constexpr std::uint64_t longest_first_event = 900;
+constexpr double last_copies_refused = 0.05;
 
 class soak_run {
 public:
@@ -106,6 +107,7 @@
         for (auto const& site : fleet_.targets()) {
             if (!site->target->where().engine)
                 continue;
+            site->usual.last_copy_refused = last_copies_refused;
             site->usual.works_on = random_.below(3) == 0 ? 1 : 0;
             site->usual.resumption_delay = base::milliseconds{random_.below(2) * random_.below(longest_first_event)};
             site->target->set_faults(site->usual);
