Show that an unframed answer that is cut looks complete

Cause: the end of the channel is taken for the end of the stream if the target lives on, although it still lists the run.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,36 +1,44 @@
-"""A resumable stream pauses at a runner that works on; see claim.txt."""
+"""The answer of a resumable stream is lost at a runner that works on; see claim.txt."""
 
 import asyncio
 import os
-import random
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "fleet2"))
 import fleet as f  # noqa: E402
 
-FOR_S = 6.5  # of the impairment
-SHARE = 0.42  # of the requests at the one impaired runner of six
+FOR_S = 4.0  # of the impairment
+IMPAIRED = 3  # runners of six
+EVERY = 20  # of the runs that begin at these runners meanwhile, one in this many loses its answer
+LOST_AFTER = 5  # pieces
 OVERLAP_S = 0.4
-WARM_UP_S = 9
-
-
-f.Runner.streams_out = 90  # 4.5 s
+WARM_UP_S = 9  # an entry that has just started sends nothing again
+CALLERS = 90
+f.Runner.streams_out = 90  # pieces: 4.5 s
 
 
 class Impaired(f.Runner):
-    """Works on each request to its end. While it is impaired, a share of its runs deliver nothing after some pieces."""
+    """While it is impaired, it resets the channels of some runs in their middle, and runs them to their end."""
 
-    muted_until = 0.0
+    until = 0.0
+    begun = EVERY // 2
+
+    def begin(self, headers, path):
+        run = super().begin(headers, path)
+        run.loses_answer = False
+        if time.monotonic() < Impaired.until:
+            Impaired.begun += 1
+            run.loses_answer = Impaired.begun % EVERY == 0
+        return run
 
     async def deliver(self, run, writer, data):
-        if not hasattr(run, "muted"):
-            run.muted = time.monotonic() < self.muted_until and self.fleet.random.random() < SHARE
-        if run.muted and run.event > 5:
-            if run.event == 6:
-                self.record("muted", run.request, "at", self.name)
-            return True
-        return await super().deliver(run, writer, data)
+        if not run.loses_answer or run.event <= LOST_AFTER:
+            return await super().deliver(run, writer, data)
+        if run.event == LOST_AFTER + 1:
+            self.record("answer lost", run.request, "at", self.name, "which runs it to its end")
+            writer.transport.abort()
+        return True
 
 
 def overlaps(fleet):
@@ -38,50 +46,47 @@
     runs = [(runner, run) for runner in fleet.runners for run in runner.runs]
     for runner, run in runs:
         for other, later in runs:
-            if other is runner or later.request != run.request or later.began <= run.began or later.first == 1:
+            if other is runner or later.request != run.request or later.began <= run.began or later.after == 0:
                 continue
             worked = (run.ended or time.monotonic()) - later.began
             if worked > OVERLAP_S:
-                found.append((run.request, runner.name, other.name, later.first - 1, worked))
+                found.append((run.request, runner.name, other.name, later.after, worked))
     return found
 
 
-async def caller(fleet, number, ends):
+async def caller(fleet, number, starts, ends):
+    await asyncio.sleep(max(0, starts - time.monotonic()))
     client = f.Client(fleet, fleet.entries[number % len(fleet.entries)])
-    while time.monotonic() < ends:
-        extra = [("X-Model", "m"), ("X-Token-Count", "1460,240"), ("X-Prefix-Hash", f"5c1e07a2:800,{number:x}:660")]
+    while True:
+        extra = [("X-Model", "m"), ("X-Token-Count", "1460,360"), ("X-Prefix-Hash", f"5c1e07a2:800,{number:x}:660")]
         await client.call("/note/2f", body=b"note", budget_ms=6000, extra=extra)
+        if time.monotonic() > ends:
+            break
         await asyncio.sleep(0.2)
     client.close()
 
 
 async def case(folder):
     fleet = f.Fleet(folder)
-    impaired = Impaired(fleet, "llm-0", "llm", "suva-a", f"{fleet.net}100", 8745, True)
-    fleet.runners[0] = impaired
-    begin = f.Runner.begin
-
-    def begin_and_keep_first(self, headers, path):
-        run = begin(self, headers, path)
-        run.first = run.event + 1
-        return run
-
-    f.Runner.begin = begin_and_keep_first
+    for index in range(IMPAIRED):
+        sound = fleet.runners[index]
+        fleet.runners[index] = Impaired(fleet, sound.name, sound.service, sound.zone, sound.ip, sound.port, True)
     try:
         await fleet.start()
-        # An entry that has just started sends nothing again.
-        await asyncio.gather(*(caller(fleet, number, time.monotonic() + WARM_UP_S) for number in range(6)))
+        now = time.monotonic()
+        await asyncio.gather(*(caller(fleet, number, now, now + WARM_UP_S) for number in range(12)))
+        now = time.monotonic()
         if f.TROUBLE:
-            impaired.muted_until = time.monotonic() + FOR_S
-            fleet.record("impairment of", impaired.name, "for", FOR_S, "s")
-        await asyncio.gather(*(caller(fleet, number, time.monotonic() + FOR_S) for number in range(12)))
+            Impaired.until = now + FOR_S
+            fleet.record("answers are lost at", IMPAIRED, "runners for", FOR_S, "s")
+        await asyncio.gather(*(caller(fleet, number, now + number * 3.0 / CALLERS, now) for number in range(CALLERS)))
         await asyncio.sleep(1)
         served = sum(run.ended is not None for runner in fleet.runners for run in runner.runs)
-        if served < 20:
+        if served < CALLERS:
             raise f.CannotRun(f"only {served} runs")
         found = overlaps(fleet)
         for request, first, second, after, worked in found:
-            fleet.record("TWICE: request", request, "went on at", second, "after event", after, "while", first,
+            fleet.record("TWICE: request", request, "went on at", second, "after piece", after, "while", first,
                          f"worked on it for {worked * 1000:.0f} ms more")
         fleet.record("verdict:", "broken" if found else "held", len(found), "of", served, "runs")
         return 1 if found else 0
--- a/review/fleet2/fleet.py
+++ b/review/fleet2/fleet.py
@@ -167,7 +167,7 @@
 class Run:
     def __init__(self, request, first):
         self.request = request
-        self.event = first - 1
+        self.event = self.after = first - 1
         self.began = time.monotonic()
         self.ended = None
         self.stopped = False
