Show that a late second answer to a call leads to another request's memory

Cause: an answer to a call names no request and is taken for the answer to the next call on the same connection. Change: review case 6; the other cases move back by one.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # nothing is compiled. Fails if they cannot be run.
 set -eu
 cd "$(dirname "$0")"
-python3 - fleet2/*.py [6-9]/*.py <<'PROGRAM'
+python3 - fleet2/*.py [6-9]/*.py 10/*.py <<'PROGRAM'
 import sys
 import tomllib  # Python 3.11 or later
 for path in sys.argv[1:]:
--- a/review/fleet2/fleet.py
+++ b/review/fleet2/fleet.py
@@ -9,6 +9,8 @@
 import re
 import shutil
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -70,6 +72,13 @@
     return ("\r\n".join(head) + "\r\n\r\n").encode("latin-1") + body
 
 
+def reset(writer):
+    """Ends the channel with a reset."""
+    linger_zero = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_zero)
+    writer.transport.abort()
+
+
 def json_answer(status, value):
     return answer(status, "OK" if status == 200 else "Error", [("Content-Type", "application/json")],
                   json.dumps(value).encode())
@@ -89,6 +98,7 @@
         self.revision = 100
         self.changed = asyncio.Event()
         self.reads = 0
+        self.writers = set()
         self.forgotten = 0
 
     def put(self, key, value):
@@ -111,6 +121,7 @@
         self.changed = asyncio.Event()
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 line, headers = await read_head(reader)
@@ -123,6 +134,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def events(self, prefix, after):
@@ -345,12 +357,16 @@
         self.process = None
         self.path = os.path.join(fleet.folder, self.name + ".yaml")
 
-    def start(self):
+    def write_settings(self):
         definition = self.fleet.deploy["roles"][self.role]
         with open(os.path.join(ROOT, definition["template"]), encoding="utf-8") as template:
             text = render(template.read(), self.fields)
         with open(self.path, "w", encoding="utf-8") as settings:
             settings.write(text)
+        return definition
+
+    def start(self):
+        definition = self.write_settings()
         words = [self.path if word == "/etc/cyclamenledge/node.toml" else word for word in definition["run"].split()]
         if not os.path.exists(os.path.join(ROOT, words[0])):
             raise CannotRun(f"{words[0]} is not built")
