Log the connection and the handle of a call that stops a run

The log could not tell whether the handle from which a stream goes on came in the answer to its own call: run_stopped named neither the handle nor the connection, and so not whether the connection had carried another call before.

run_stopped has three fields more: handle, local_port and earlier_requests.

--- a/Libraries/forwarding_entry/run_stopper.cpp
+++ b/Libraries/forwarding_entry/run_stopper.cpp
@@ -55,8 +55,15 @@
 asio::awaitable<stop_answer> stop_run(entry_parts& parts, stop_request wanted) {
     platform::copy_result result;
     bool answers_uncertain = false;
+    std::uint16_t local_port = 0;
+    std::uint64_t earlier_requests = 0;
     auto const conclude = [&](stop_outcome outcome) {
-        return stop_answer{outcome, result.handle, result.events, forwarding::effect_of(outcome, answers_uncertain)};
+        return stop_answer{outcome,
+                           result.handle,
+                           result.events,
+                           forwarding::effect_of(outcome, answers_uncertain),
+                           local_port,
+                           earlier_requests};
     };
     auto idle = maximum_idle;
     for (int call = 0; call < maximum_calls; ++call) {
@@ -76,6 +83,8 @@
             parts.connections.release(wanted.address, connection, {});
             break;
         }
+        local_port = connection->local_port();
+        earlier_requests = connection->requests();
         platform::copy_command command{wanted.request, wanted.destination, true};
         auto on_notices = parts.notices.make_handler({wanted.target, wanted.target_started_at}, wanted.request);
         result = co_await platform::copy_memory(*connection, std::move(command), stop_timeout, std::move(on_notices));
--- a/Libraries/forwarding_entry/run_stopper.h
+++ b/Libraries/forwarding_entry/run_stopper.h
@@ -32,6 +32,10 @@
     /// Events that the run had made. Empty if the target did not say.
     std::optional<std::uint64_t> events;
     forwarding::stop_effect effect{forwarding::stop_effect::none};
+    /// The connection that carried the last call: its local port, and the number of requests before the call. Both are
+    /// zero without a call.
+    std::uint16_t local_port{0};
+    std::uint64_t earlier_requests{0};
 };
 
 /// Stops a run at its target, and finds out whether it has ended. A closed connection does not show that: targets may
--- a/Libraries/forwarding_entry/stream_handover.cpp
+++ b/Libraries/forwarding_entry/stream_handover.cpp
@@ -85,7 +85,8 @@
     auto const asked_at = base::clock::now();
     source->stop_asked = true;
     // Without the call, closing the connection is all that can be done.
-    stop_answer answer{stop_outcome::unreachable, {}, {}, forwarding::stop_effect::none};
+    stop_answer answer;
+    answer.outcome = stop_outcome::unreachable;
     if (engine_ != nullptr && engine_->moves) {
         stop_request wanted{request_.caller.id,        source->target,
                             source->target_started_at, source->address,
@@ -100,6 +101,9 @@
                                               {"target", source->target},
                                               {"condition", forwarding::name_of(condition)},
                                               {"outcome", forwarding::name_of(answer.outcome)},
+                                              {"handle", answer.handle},
+                                              {"local_port", answer.local_port},
+                                              {"earlier_requests", answer.earlier_requests},
                                               {"events", answer.events.value_or(0)},
                                               {"last_event", relay_.position()},
                                               {"duration_ms", milliseconds_since(asked_at)}});
--- a/Libraries/http/upstream_connection.cpp
+++ b/Libraries/http/upstream_connection.cpp
@@ -242,6 +242,12 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+std::uint16_t upstream_connection::local_port() const {
+    boost::system::error_code code;
+    auto const local = stream_.socket().local_endpoint(code);
+    return code ? std::uint16_t{0} : local.port();
+}
+
 void upstream_connection::close() {
     open_ = false;
     stream_.close();
--- a/Libraries/http/upstream_connection.h
+++ b/Libraries/http/upstream_connection.h
@@ -58,6 +58,10 @@
     bool has_request_name(std::string_view name) const;
     /// Whether at most one request was sent, so that no answer to an earlier one can arrive.
     bool carries_first_request() const { return requests_ <= 1; }
+    /// Requests that were sent.
+    std::uint64_t requests() const { return requests_; }
+    /// Port of this end, which tells the connection from others to the same peer. Zero unless it is open.
+    std::uint16_t local_port() const;
     /// The connection carries no other request.
     void end_after_answer() { ending_ = true; }
     void close();
