Send no second call without an id over a connection

Callers of streams got the pieces of another caller's stream, in an answer that ended as complete (MIXED). The answer to a call that copies memory names neither the call nor the run. The connections of the pool are shared by the calls of all streams, so a second, late answer to the call of one stream was taken for the answer to the next stream's call, and that stream went on from the other one's memory.

The rule is stated for the connection: messages whose answers cannot be told apart have the same name, and a connection carries no name twice. It held for requests, whose name is their id. Calls without an id now share one name, whatever they are about: copies, calls that stop a run, and questions for a report. An answer without an id to a request takes the name as well. Requests may follow on such a connection, because an answer without an id counts only on the connection of the first request. As a second line of defence, an answer to a stopping call that names fewer events than have arrived is not about the run.

--- a/Development/soak/fault_plan.cpp
+++ b/Development/soak/fault_plan.cpp
@@ -297,6 +297,7 @@
     harmed.unframed = site.usual.unframed;
     harmed.delivery_delay = site.usual.delivery_delay;
     harmed.begins_after_copy = site.usual.begins_after_copy;
+    harmed.copy_answers_repeated = site.usual.copy_answers_repeated;
     site.target->set_faults(harmed);
     co_await pause(500, 3000);
     site.target->set_faults(site.usual);
--- a/Development/soak/main.cpp
+++ b/Development/soak/main.cpp
@@ -115,6 +115,7 @@
             site->usual.unframed = random_.below(3) == 0 ? 1 : 0;
             site->usual.delivery_delay = base::milliseconds{random_.below(2) * random_.below(longest_delivery)};
             site->usual.begins_after_copy = random_.below(2) == 0;
+            site->usual.copy_answers_repeated = random_.below(2) == 0;
             site->target->set_faults(site->usual);
         }
     }
--- a/Development/soak/run_ledger.cpp
+++ b/Development/soak/run_ledger.cpp
@@ -280,6 +280,10 @@
     }
 }
 
+void run_ledger::on_other_memory(std::string const& request, std::string const& owner) {
+    violation("was sent to go on from the memory of " + owner + ": " + request);
+}
+
 void run_ledger::on_leaving_said(std::string const& request, platform::standin::target_standin const& target) {
     notices_.on_leaving_said(request, target.id());
 }
--- a/Development/soak/run_ledger.h
+++ b/Development/soak/run_ledger.h
@@ -170,6 +170,7 @@
     void on_request_crash(std::string const& request, platform::standin::target_standin const& target) override;
     void record_crash(std::string const& content, base::time_point at) { crashing_[content].crashes.push_back(at); }
 
+    void on_other_memory(std::string const& request, std::string const& owner) override;
     void on_leaving_said(std::string const& request, platform::standin::target_standin const& target) override;
     void on_turned_away(std::string const& request, platform::standin::target_standin const& target,
                         base::time_point until) override;
--- a/Libraries/forwarding_entry/answer_reader.cpp
+++ b/Libraries/forwarding_entry/answer_reader.cpp
@@ -1,6 +1,7 @@
 #include "forwarding_entry/answer_reader.h"
 
 #include "log/logger.h"
+#include "platform/engine_calls.h"
 #include "platform/request_headers.h"
 
 namespace cyclamenledge::forwarding_entry {
@@ -25,6 +26,9 @@
             expected.on_notices(facts.notices);
         // An answer that names no request can only be attributed on a connection that carried no other one.
         bool const unnamed_but_own = facts.request_id.empty() && connection->carries_first_request();
+        // Once more and late, it would be taken for the answer to a call that has no id.
+        if (unnamed_but_own)
+            connection->add_request_name(platform::unnamed_call);
         if (unnamed_but_own || facts.request_id == expected.request)
             co_return head;
         connection->end_after_answer();
--- a/Libraries/forwarding_entry/run_stopper.cpp
+++ b/Libraries/forwarding_entry/run_stopper.cpp
@@ -58,12 +58,9 @@
     std::uint16_t local_port = 0;
     std::uint64_t earlier_requests = 0;
     auto const conclude = [&](stop_outcome outcome) {
-        return stop_answer{outcome,
-                           result.handle,
-                           result.events,
-                           forwarding::effect_of(outcome, answers_uncertain),
-                           local_port,
-                           earlier_requests};
+        return stop_answer{outcome,       result.handle,
+                           result.events, forwarding::effect_of(outcome, answers_uncertain),
+                           local_port,    earlier_requests};
     };
     auto idle = maximum_idle;
     for (int call = 0; call < maximum_calls; ++call) {
@@ -71,8 +68,8 @@
             co_return conclude(stop_outcome::ended);
         auto connection = std::exchange(wanted.connection, nullptr);
         if (!connection) {
-            auto const connected = co_await parts.connections.acquire(wanted.address, wanted.request,
-                                                                      target_connections::connect_timeout, idle);
+            auto const connected = co_await parts.connections.acquire(
+                wanted.address, std::string{platform::unnamed_call}, target_connections::connect_timeout, idle);
             if (!connected) {
                 bool const refused = connected.error().kind == base::error_kind::link_lost;
                 co_return conclude(refused ? stop_outcome::ended : stop_outcome::unreachable);
@@ -89,6 +86,8 @@
         auto on_notices = parts.notices.make_handler({wanted.target, wanted.target_started_at}, wanted.request);
         result = co_await platform::copy_memory(*connection, std::move(command), stop_timeout, std::move(on_notices));
         parts.connections.release(wanted.address, connection, {});
+        if (result.events.value_or(wanted.events) < wanted.events)
+            result = {};
         answers_uncertain = answers_uncertain || uncertain(result.outcome);
         if (result.outcome == platform::copy_outcome::connection_lost) {
             // The target may have ended, or have closed a connection that was idle.
--- a/Libraries/forwarding_entry/run_stopper.h
+++ b/Libraries/forwarding_entry/run_stopper.h
@@ -21,6 +21,8 @@
     std::string address;
     /// IP:PORT of the engine that gets the memory of the run.
     std::string destination;
+    /// Events of the run that have arrived. An answer that names fewer is not about this run.
+    std::uint64_t events{0};
     /// To the target. Another one is opened if it is null.
     http::upstream_pointer connection;
 };
--- a/Libraries/forwarding_entry/stream_handover.cpp
+++ b/Libraries/forwarding_entry/stream_handover.cpp
@@ -88,9 +88,13 @@
     stop_answer answer;
     answer.outcome = stop_outcome::unreachable;
     if (engine_ != nullptr && engine_->moves) {
-        stop_request wanted{request_.caller.id,        source->target,
-                            source->target_started_at, source->address,
-                            stop_destination(*source), std::exchange(source->stop_connection, nullptr)};
+        stop_request wanted{request_.caller.id,
+                            source->target,
+                            source->target_started_at,
+                            source->address,
+                            stop_destination(*source),
+                            source->events,
+                            std::exchange(source->stop_connection, nullptr)};
         answer = co_await stop_run(parts_, std::move(wanted));
     }
     // The run goes on, and its end is judged like any other.
@@ -361,7 +365,8 @@
 asio::awaitable<void> stream_exchange::open_connections(self_pointer, stream_run_pointer source) {
     auto const& id = request_.caller.id;
     constexpr auto timeout = target_connections::connect_timeout;
-    auto const stopping = co_await parts_.connections.acquire(source->address, id, timeout, maximum_idle());
+    auto const stopping = co_await parts_.connections.acquire(source->address, std::string{platform::unnamed_call},
+                                                              timeout, maximum_idle());
     auto const next = co_await parts_.connections.acquire(source->copy_destination, id, timeout, maximum_idle());
     source->opening = false;
     if (stopping && next) {
@@ -414,7 +419,7 @@
 
 asio::awaitable<platform::copy_result> stream_exchange::copy_once(stream_run_pointer source) {
     auto const connected = co_await parts_.connections.acquire(
-        source->address, request_.caller.id, target_connections::connect_timeout, unlimited_idle_time);
+        source->address, std::string{platform::unnamed_call}, target_connections::connect_timeout, unlimited_idle_time);
     if (!connected || !parts_.board.fleet.take_copy_call(source->target, base::clock::now()))
         co_return platform::copy_result{};
     platform::copy_command command{request_.caller.id, source->copy_destination, false};
--- a/Libraries/forwarding_entry/target_connections.h
+++ b/Libraries/forwarding_entry/target_connections.h
@@ -24,7 +24,8 @@
 
     /// Returns a usable connection that was idle for at most the given time and has not carried a request of that name,
     /// or opens one. On a connection that has, a target that writes an earlier answer once more would answer the second
-    /// request with it. After a failure nothing was sent.
+    /// request with it. The name of a request is its id, and calls without an id share one. After a failure nothing was
+    /// sent.
     http::awaitable_result<http::upstream_pointer> acquire(std::string address, std::string request,
                                                            base::milliseconds connect_timeout,
                                                            base::milliseconds maximum_idle);
--- a/Libraries/http/upstream_connection.h
+++ b/Libraries/http/upstream_connection.h
@@ -52,7 +52,8 @@
     bool reusable() const;
     /// Whether the peer has neither closed the connection nor sent bytes that nobody asked for.
     bool quiet();
-    /// Records the name of a request that is about to be sent.
+    /// Records the name of a request that is about to be sent. Requests whose answers cannot be told apart have the
+    /// same name: an answer may arrive once more and late, as the answer to the next request.
     void add_request_name(std::string_view name);
     /// Whether a request of that name was recorded. A late answer to it would be taken for one to a second request.
     bool has_request_name(std::string_view name) const;
--- a/Tests/forwarding_entry/answer_reader_test.cpp
+++ b/Tests/forwarding_entry/answer_reader_test.cpp
@@ -1,4 +1,5 @@
 #include "forwarding_entry/answer_reader.h"
+#include "platform/engine_calls.h"
 #include "support/table_test.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -29,6 +30,8 @@
 struct outcome {
     bool found{false};
     bool reusable{false};
+    /// The connection may carry a call whose answer names no request.
+    bool free_for_call{false};
     bool leaving{false};
 };
 
@@ -48,6 +51,7 @@
     auto const head = co_await forwarding_entry::read_matching_head(connection, std::move(expected));
     result.found = head.has_value() && co_await connection->read_whole_body(1000, 1000ms);
     result.reusable = connection->reusable();
+    result.free_for_call = !connection->has_request_name(platform::unnamed_call);
 }
 
 outcome read_from_server(std::string const& bytes, bool first_request) {
@@ -68,6 +72,7 @@
 class answer_reader_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(answer_reader_test);
     CPPUNIT_TEST(late_answers_are_dropped_with_their_connection);
+    CPPUNIT_TEST(an_answer_without_a_name_keeps_calls_away);
     CPPUNIT_TEST(late_answers_are_bounded_together);
     CPPUNIT_TEST(notices_are_read_in_every_answer_of_the_target);
     CPPUNIT_TEST_SUITE_END();
@@ -101,6 +106,24 @@
         });
     }
 
+    // Guards against a late second copy of an answer without a name that is taken for the answer to a call.
+    void an_answer_without_a_name_keeps_calls_away() {
+        struct row {
+            char const* name;
+            std::string bytes;
+            bool free_for_call;
+        };
+        std::vector<row> const table{
+            {"named answer", answer_to("own"), true},
+            {"answer without a name", unnamed_answer, false},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto const seen = read_from_server(tested.bytes, false);
+            CPPUNIT_ASSERT(seen.found);
+            CPPUNIT_ASSERT_EQUAL(tested.free_for_call, seen.free_for_call);
+        });
+    }
+
     // Guards against late answers that are each below the limit and together far above it.
     void late_answers_are_bounded_together() {
         auto const late = [](std::size_t bytes) {
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -103,6 +103,7 @@
     ++incarnation_;
     runs_.clear();
     copies_.clear();
+    repeated_.clear();
     servers_.back()->stop_accepting();
     if (on_crash_)
         on_crash_(request);
@@ -175,6 +176,7 @@
         client->close();
         co_return;
     }
+    co_await repeat_answer(client);
     if (target == "/-/report") {
         std::ignore = co_await client->send(report());
         co_return;
@@ -333,8 +335,12 @@
     auto const separator = source.find('/');
     auto const name = source.substr(separator + 1);
     auto const found = copies_.find(name);
-    if (found == copies_.end() || found->second.request != request)
+    if (found == copies_.end())
         return std::nullopt;
+    if (found->second.request != request) {
+        observer_.on_other_memory(request, found->second.request);
+        return std::nullopt;
+    }
     auto taken = found->second;
     copies_.erase(found);
     // A handle can be used once, here or where the memory came from.
@@ -470,6 +476,18 @@
     std::ignore = co_await client->finish_stream();
 }
 
+asio::awaitable<void> target_standin::answer_move(http::session_pointer client, http::response answer) {
+    if (faults_.copy_answers_repeated)
+        repeated_[client] = answer;
+    std::ignore = co_await client->send(std::move(answer));
+}
+
+asio::awaitable<void> target_standin::repeat_answer(http::session_pointer client) {
+    auto repeated = repeated_.extract(client);
+    if (!repeated.empty())
+        std::ignore = co_await client->send(std::move(repeated.mapped()));
+}
+
 asio::awaitable<void> target_standin::move(http::session_pointer client, http::request received) {
     boost::system::error_code code;
     auto const content = json::parse(received.body(), code);
@@ -477,7 +495,7 @@
     if (code || object == nullptr || !object->contains("id") || !object->contains("to")) {
         auto refusal = http::make_response(400, "text/plain", "");
         add_leaving(refusal, {});
-        std::ignore = co_await client->send(std::move(refusal));
+        co_await answer_move(std::move(client), std::move(refusal));
         co_return;
     }
     std::string const request{object->at("id").as_string()};
@@ -488,7 +506,7 @@
     if (moved == runs_.end() || moved->second.events == 0) {
         auto refusal = http::make_response(404, "text/plain", "");
         add_leaving(refusal, {});
-        std::ignore = co_await client->send(std::move(refusal));
+        co_await answer_move(std::move(client), std::move(refusal));
         co_return;
     }
     auto const* last = object->if_contains("last");
@@ -522,7 +540,7 @@
     content_of_answer["createRev"] = made.events;
     auto answer = http::make_response(refused ? 503 : 200, "application/json", json::serialize(content_of_answer));
     add_leaving(answer, {});
-    std::ignore = co_await client->send(std::move(answer));
+    co_await answer_move(std::move(client), std::move(answer));
 }
 
 } // namespace cyclamenledge::platform::standin
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -46,6 +46,8 @@
     virtual void on_end(target_standin const& /*target*/) {}
     /// The target crashed because it ran the request.
     virtual void on_request_crash(std::string const& /*request*/, target_standin const& /*target*/) {}
+    /// The request was to go on from the memory of another request. The target refused it.
+    virtual void on_other_memory(std::string const& /*request*/, std::string const& /*owner*/) {}
     /// The target said in its answer to the request that it leaves.
     virtual void on_leaving_said(std::string const& /*request*/, target_standin const& /*target*/) {}
     /// The target refused the request, and wants nothing from the entry that sent it until then.
@@ -96,6 +98,9 @@
     double unframed{0};
     /// The path back is slow: what a generation has made is delivered only after this time, all at once.
     base::milliseconds delivery_delay{0};
+    /// Writes each answer to a call that copies memory once more, before the answer to the next message on the
+    /// connection.
+    bool copy_answers_repeated{false};
     /// Answers a generation that goes on from a copy, in a request without a position, after the copy's events.
     bool begins_after_copy{false};
 };
@@ -213,6 +218,10 @@
     boost::asio::awaitable<void> send_without_end(http::session_pointer client,
                                                   http::beast_http::response_header<> head);
     boost::asio::awaitable<void> move(http::session_pointer client, http::request received);
+    /// Answers a call that copies memory.
+    boost::asio::awaitable<void> answer_move(http::session_pointer client, http::response answer);
+    /// Writes what answered the last call on the connection once more, if the fault asks for it.
+    boost::asio::awaitable<void> repeat_answer(http::session_pointer client);
     http::response report() const;
     /// Ends the work on a generation whose connection was or is closed.
     void end_work(std::string const& request, std::uint64_t incarnation);
@@ -245,6 +254,8 @@
     std::map<std::string, run> runs_;
     /// Connections that carried the refusals for refused_twice, by request.
     std::map<std::string, http::session_pointer> refused_;
+    /// Answers that are written once more, by connection.
+    std::map<http::session_pointer, http::response> repeated_;
     /// Copies that others have sent here and memory of stopped runs, by name.
     std::map<std::string, copy> copies_;
 };
