Let a witness show that a run has ended before its stream goes on

A stream that may run once went on at another engine while the engine before still worked on it, for about 5 s (TWICE). The entry concluded from one refused connection that the engine's process had ended. An engine that has no room for another connection refuses it in the same way and serves the open ones.

The entry's log has run_stopped with condition stalled, outcome ended and 0 ms at the moment of the refusal, and the run's own connection was still open. The same conclusion by another entrance: the engine ends the connection and works on (2,954 ms in process_full_targets).

A refused, reset, closed or silent connection and a listing show nothing by themselves any more. judge_stop is one table of what the calls brought, whether the run's connection is open, and the evidence of a witness, with a test for every row. The witness is the agent beside the engine: it reads reports over a connection that it holds, and answers a question (run_question, run_statement) from a report that it reads after it. A stalled or lost run's question goes out beside the call, so that it costs no round trip. An entry without a connection tries an idle one of any age, and then has the agent stop the run over the agent's connection. While the run may go on, the stream waits and tries again for 1.8 s. Without an agent, an engine to which no connection can be had counts as out of reach, unless the run's own connection is open.

--- a/Development/soak/fault_plan.cpp
+++ b/Development/soak/fault_plan.cpp
@@ -299,7 +299,12 @@
     harmed.begins_after_copy = site.usual.begins_after_copy;
     harmed.copy_answers_repeated = site.usual.copy_answers_repeated;
     site.target->set_faults(harmed);
+    // A target that is busy takes no connections beside those that are open.
+    if (random_.below(2) == 0)
+        site.proxy->stop_listening();
     co_await pause(500, 3000);
+    if (site.target->up() && !site.proxy->resume_listening())
+        ledger_.violation("the address of " + site.target->id() + " cannot be opened again");
     site.target->set_faults(site.usual);
 }
 
--- a/Libraries/forwarding/run_handover.cpp
+++ b/Libraries/forwarding/run_handover.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr base::name_table<stop_outcome, stop_outcome_count> stop_outcome_names{
-    base::make_names({"moved", "kept", "not_running", "ended", "unreachable", "not_stopped"})};
+    base::make_names({"moved", "kept", "not_running", "ended", "gone", "unreachable", "not_stopped"})};
 
 constexpr base::name_table<stop_effect, stop_effect_count> stop_effect_names{
     base::make_names({"none", "possible", "certain"})};
@@ -30,13 +30,15 @@
 constexpr place_list copies_only{{earlier_copy}, 1};
 
 // By stop_outcome and run_condition. A run that waits in its target's queue is not running, so while its connection is
-// open, that does not show that it has ended.
+// open, that does not show that it has ended. The last events of a run that is gone may still be on their way over a
+// connection that brings events.
 constexpr std::array<std::array<place_list, run_condition_count>, stop_outcome_count> table{{
     {moved_memory, moved_memory, moved_memory},
     {kept_memory, kept_at_doubtful_target, kept_at_doubtful_target},
     {nowhere, nowhere, copies_only},
     {copies_only, copies_only, copies_only},
     {nowhere, copies_only, copies_only},
+    {nowhere, copies_only, copies_only},
     {nowhere, nowhere, nowhere},
 }};
 
--- a/Libraries/forwarding/run_handover.h
+++ b/Libraries/forwarding/run_handover.h
@@ -18,6 +18,8 @@
     not_running,
     /// The target's process has ended.
     ended,
+    /// The target has neither the run nor a request that waits.
+    gone,
     /// The target did not answer.
     unreachable,
     /// The target did not take the call, or it may not be called now. The run may go on.
--- a/Libraries/forwarding_agent/forwarding_agent_role.cpp
+++ b/Libraries/forwarding_agent/forwarding_agent_role.cpp
@@ -71,6 +71,7 @@
 forwarding_agent_role::forwarding_agent_role(process::runtime& daemon, asio::ip::tcp::endpoint target)
     : daemon_(daemon)
     , target_(std::move(target))
+    , report_timer_(daemon.context())
     , expiry_timer_(daemon.context())
     , crash_notices_(daemon, suspects_, &connected_entries)
     , permits_(daemon.hub())
@@ -103,6 +104,10 @@
         copy_queue_.remove(done.request);
         grant_copy_slots();
     });
+    hub.handle<wire::schema::RunQuestionT>([this](link::connection& entry, wire::schema::RunQuestionT const& question) {
+        witness_.add(entry, question);
+        report_timer_.cancel();
+    });
     BOOST_OUTCOME_TRYV(hub.listen(daemon_.settings().peer_address));
     BOOST_OUTCOME_TRYV(operator_server_.listen(daemon_.settings().operator_address));
     asio::co_spawn(daemon_.context(), read_reports(), asio::detached);
@@ -125,9 +130,11 @@
 }
 
 asio::awaitable<void> forwarding_agent_role::read_reports() {
-    asio::steady_timer timer{daemon_.context()};
     while (true) {
-        auto const report = co_await read_once();
+        witness_.begin_answers();
+        auto report = co_await read_once();
+        if (witness_.answering())
+            report = co_await answer_questions(std::move(report));
         if (report) {
             if (failures_ > 0)
                 log::write(log::event_kind::target_reachable,
@@ -140,19 +147,47 @@
                 log::write(log::event_kind::target_unreachable,
                            {{"address", daemon_.settings().target_address}, {"reason", report.error().message}});
         }
-        timer.expires_after(failures_ > 0 ? failed_report_interval : report_interval);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!witness_.asked()) {
+            report_timer_.expires_after(failures_ > 0 ? failed_report_interval : report_interval);
+            co_await report_timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
         if (!copy_queue_.idle())
             grant_copy_slots();
     }
 }
 
+http::awaitable_result<forwarding::engine_report>
+forwarding_agent_role::answer_questions(base::result<forwarding::engine_report> report) {
+    // The first report may be a late second copy of one that was read before the questions came.
+    if (report)
+        report = co_await read_once();
+    // A broken connection is noticed before it is known whether the engine takes another one.
+    if (!report && connection_broken_) {
+        connection_.reset();
+        report = co_await read_once();
+    }
+    using enum forwarding::run_evidence;
+    if (report)
+        co_await witness_.answer(report.value(), connection_);
+    else
+        witness_.answer(connection_broken_ && report.error().kind == base::error_kind::link_lost ? process_ended
+                                                                                                 : unresponsive);
+    co_return report;
+}
+
 http::awaitable_result<forwarding::engine_report> forwarding_agent_role::read_once() {
+    if (connection_ && connection_->reusable() && connection_->ended_by_peer())
+        connection_broken_ = true;
     if (!connection_ || !connection_->reusable() || !connection_->quiet()) {
         connection_ = http::upstream_pointer{new http::upstream_connection{daemon_.context().get_executor(), target_}};
         BOOST_OUTCOME_CO_TRYV(co_await connection_->connect(report_timeout));
+        connection_broken_ = false;
+        co_return co_await platform::read_report(*connection_, report_timeout);
     }
-    co_return co_await platform::read_report(*connection_, report_timeout);
+    auto const report = co_await platform::read_report(*connection_, report_timeout);
+    if (!report && report.error().kind == base::error_kind::link_lost)
+        connection_broken_ = true;
+    co_return report;
 }
 
 void forwarding_agent_role::update_report(forwarding::engine_report const& report) {
--- a/Libraries/forwarding_agent/forwarding_agent_role.h
+++ b/Libraries/forwarding_agent/forwarding_agent_role.h
@@ -6,6 +6,7 @@
 #include "forwarding/entry_count.h"
 #include "forwarding/reservation_controller.h"
 #include "forwarding_agent/permit_service.h"
+#include "forwarding_agent/run_witness.h"
 #include "forwarding_agent/stream_origin_service.h"
 #include "http/server.h"
 #include "http/upstream_connection.h"
@@ -49,6 +50,8 @@
 
     boost::asio::awaitable<void> read_reports();
     http::awaitable_result<forwarding::engine_report> read_once();
+    /// Answers the questions that have come before the report was read. The result is that of a report read after them.
+    http::awaitable_result<forwarding::engine_report> answer_questions(base::result<forwarding::engine_report> report);
     void update_report(forwarding::engine_report const& report);
     void answer_reservation(link::connection& entry, wire::schema::PlaceRequestT const& reservation);
     void end_reservation(link::connection& entry, wire::schema::PlaceEndT const& end);
@@ -70,6 +73,9 @@
     process::runtime& daemon_;
     boost::asio::ip::tcp::endpoint target_;
     http::upstream_pointer connection_;
+    /// The engine has ended the connection while it served, and has accepted none since.
+    bool connection_broken_{false};
+    boost::asio::steady_timer report_timer_;
     std::optional<forwarding::engine_report> report_;
     std::optional<forwarding::engine_report> last_sent_;
     base::time_point last_sent_at_{};
@@ -86,6 +92,7 @@
     poison_control::poison_controller crash_notices_;
     permit_service permits_;
     stream_origin_service stream_origins_;
+    run_witness witness_;
     process::operator_handler operators_;
     http::server operator_server_;
 };
--- a/Libraries/forwarding_entry/entry_parts.h
+++ b/Libraries/forwarding_entry/entry_parts.h
@@ -17,6 +17,7 @@
 class copy_slot_client;
 class crash_detector;
 class reservation_client;
+class run_witness_client;
 class stream_origin_client;
 
 /// References to the components that all exchanges of an entry share.
@@ -34,6 +35,7 @@
     stream_registry& streams;
     stream_origin_client& stream_origins;
     poison_control::poison_controller& suspects;
+    run_witness_client& witnesses;
     crash_detector& crashes;
     metrics::registry& metrics;
     base::random_source& random;
--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -73,12 +73,13 @@
     , copy_slots_(daemon.context(), daemon.hub(), agent_directory_)
     , stream_origins_(daemon.context(), daemon.hub())
     , suspects_(daemon, board_.suspects, &crash_notice_recipients)
+    , witnesses_(daemon.context(), daemon.hub(), agent_directory_)
     , crashes_(daemon.context(), board_, suspects_)
     , agents_(daemon.hub(), board_, agent_directory_,
               static_cast<std::uint16_t>(daemon.settings().forwarding.agent_port))
-    , parts_{daemon.context(), board_,         placements_, permits_,         notices_,
-             connections_,     answer_memory_, copy_slots_, reservations_,    streams_,
-             stream_origins_,  suspects_,      crashes_,    daemon.metrics(), random_}
+    , parts_{daemon.context(), board_,      placements_,      permits_, notices_,        connections_,
+             answer_memory_,   copy_slots_, reservations_,    streams_, stream_origins_, suspects_,
+             witnesses_,       crashes_,    daemon.metrics(), random_}
     , forwarder_(daemon, parts_, [this] { return store_.is_current(base::clock::now()); })
     , operators_(daemon, *this)
     , readiness_(daemon, *this)
--- a/Libraries/forwarding_entry/forwarding_entry_role.h
+++ b/Libraries/forwarding_entry/forwarding_entry_role.h
@@ -13,6 +13,7 @@
 #include "forwarding_entry/publication_controller.h"
 #include "forwarding_entry/readiness_handler.h"
 #include "forwarding_entry/reservation_client.h"
+#include "forwarding_entry/run_witness_client.h"
 #include "forwarding_entry/store_controller.h"
 #include "forwarding_entry/stream_origin_client.h"
 #include "forwarding_entry/stream_registry.h"
@@ -69,6 +70,7 @@
     stream_registry streams_;
     stream_origin_client stream_origins_;
     poison_control::poison_controller suspects_;
+    run_witness_client witnesses_;
     crash_detector crashes_;
     agent_controller agents_;
     entry_parts parts_;
--- a/Libraries/forwarding_entry/run_stopper.h
+++ b/Libraries/forwarding_entry/run_stopper.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "forwarding/run_handover.h"
+#include "forwarding/stop_judgement.h"
 #include "forwarding_entry/entry_parts.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -23,6 +24,9 @@
     std::string destination;
     /// Events of the run that have arrived. An answer that names fewer is not about this run.
     std::uint64_t events{0};
+    forwarding::run_condition condition{forwarding::run_condition::leaving};
+    /// Tells whether the connection over which the run's events come has ended.
+    std::function<forwarding::run_connection()> run_connection;
     /// To the target. Another one is opened if it is null.
     http::upstream_pointer connection;
 };
@@ -34,14 +38,17 @@
     /// Events that the run had made. Empty if the target did not say.
     std::optional<std::uint64_t> events;
     forwarding::stop_effect effect{forwarding::stop_effect::none};
+    /// What the outcome was concluded from.
+    forwarding::stop_call call{forwarding::stop_call::declined};
+    forwarding::run_evidence evidence{forwarding::run_evidence::none};
     /// The connection that carried the last call: its local port, and the number of requests before the call. Both are
     /// zero without a call.
     std::uint16_t local_port{0};
     std::uint64_t earlier_requests{0};
 };
 
-/// Stops a run at its target, and finds out whether it has ended. A closed connection does not show that: targets may
-/// not notice it, and the end of a connection may be a fault of the network.
+/// Stops a run at its target, and finds out whether it has ended, see forwarding::judge_stop. The call goes over a
+/// connection of this process, or else over that of the agent beside the target.
 boost::asio::awaitable<stop_answer> stop_run(entry_parts& parts, stop_request wanted);
 
 } // namespace cyclamenledge::forwarding_entry
--- a/Libraries/forwarding_entry/stream_handover.cpp
+++ b/Libraries/forwarding_entry/stream_handover.cpp
@@ -38,6 +38,9 @@
 constexpr base::milliseconds move_retry_pause{40};
 constexpr int maximum_move_attempts = 40;
 constexpr base::milliseconds opening_check_interval{2};
+// Callers give a stream up two seconds after its last event.
+constexpr base::milliseconds longest_wait_for_end{1800};
+constexpr base::milliseconds stop_retry_pause{100};
 // A leaving target gets no request 2.5 s after it was known to leave. The metadata store may have told it before this
 // process began to move its streams.
 constexpr base::milliseconds time_to_return{1500};
@@ -88,13 +91,18 @@
     stop_answer answer;
     answer.outcome = stop_outcome::unreachable;
     if (engine_ != nullptr && engine_->moves) {
-        stop_request wanted{request_.caller.id,
-                            source->target,
-                            source->target_started_at,
-                            source->address,
-                            stop_destination(*source),
-                            source->events,
-                            std::exchange(source->stop_connection, nullptr)};
+        stop_request wanted;
+        wanted.request = request_.caller.id;
+        wanted.target = source->target;
+        wanted.target_started_at = source->target_started_at;
+        wanted.address = source->address;
+        wanted.destination = stop_destination(*source);
+        wanted.events = source->events;
+        wanted.condition = condition;
+        wanted.run_connection = [source] {
+            return source->ended ? forwarding::run_connection::ended : forwarding::run_connection::open;
+        };
+        wanted.connection = std::exchange(source->stop_connection, nullptr);
         answer = co_await stop_run(parts_, std::move(wanted));
     }
     // The run goes on, and its end is judged like any other.
@@ -105,6 +113,8 @@
                                               {"target", source->target},
                                               {"condition", forwarding::name_of(condition)},
                                               {"outcome", forwarding::name_of(answer.outcome)},
+                                              {"call", forwarding::name_of(answer.call)},
+                                              {"evidence", forwarding::name_of(answer.evidence)},
                                               {"handle", answer.handle},
                                               {"local_port", answer.local_port},
                                               {"earlier_requests", answer.earlier_requests},
@@ -207,6 +217,7 @@
         if (start_from_next_copy(charge))
             co_return true;
     }
+    source->may_work_on = answer.outcome == stop_outcome::not_stopped;
     if (!source->end_while_stopping)
         co_return false;
     recover_without_copy(*source, *std::exchange(source->end_while_stopping, std::nullopt));
@@ -214,7 +225,13 @@
 }
 
 asio::awaitable<void> stream_exchange::hand_over_lost(self_pointer, stream_run_pointer source, send_result result) {
-    bool const done = co_await hand_over(source, run_condition::lost);
+    auto const limit = base::clock::now() + longest_wait_for_end;
+    bool done = co_await hand_over(source, run_condition::lost);
+    // The target may take the call later, or the run may end by itself. A request that may run again is sent again.
+    while (!done && source->may_work_on && !request_.may_run_again() && base::clock::now() < limit) {
+        co_await pause(stop_retry_pause);
+        done = co_await hand_over(source, run_condition::lost);
+    }
     if (!done) {
         recover_without_copy(*source, std::move(result));
     } else if (auto const next = find_run(relay_.successor())) {
--- a/Libraries/forwarding_entry/stream_run.h
+++ b/Libraries/forwarding_entry/stream_run.h
@@ -64,6 +64,8 @@
     bool stop_answered{false};
     /// Of all such calls whose answers have come or failed.
     forwarding::stop_effect stop_effect{forwarding::stop_effect::none};
+    /// The target was asked to stop the run, and may still work on it.
+    bool may_work_on{false};
     /// How the run ended while it was stopped.
     std::optional<send_result> end_while_stopping;
     /// Opened before the run was placed. Otherwise the run opens its own.
--- a/Libraries/forwarding_entry/target_connections.cpp
+++ b/Libraries/forwarding_entry/target_connections.cpp
@@ -32,6 +32,13 @@
     co_return opened;
 }
 
+http::upstream_pointer target_connections::take_any_idle(std::string const& address, std::string const& request) {
+    auto kept = take_idle(idle_[address], request, base::milliseconds::max());
+    if (kept)
+        kept->add_request_name(request);
+    return kept;
+}
+
 http::upstream_pointer target_connections::take_idle(idle_pool& pool, std::string_view request,
                                                      base::milliseconds maximum_idle) {
     auto const now = base::clock::now();
--- a/Libraries/forwarding_entry/target_connections.h
+++ b/Libraries/forwarding_entry/target_connections.h
@@ -29,6 +29,9 @@
     http::awaitable_result<http::upstream_pointer> acquire(std::string address, std::string request,
                                                            base::milliseconds connect_timeout,
                                                            base::milliseconds maximum_idle);
+    /// A connection that has not carried a request of that name, however long it was idle. Null if there is none. The
+    /// target may be about to close it.
+    http::upstream_pointer take_any_idle(std::string const& address, std::string const& request);
     /// Returns the connection to the pool, or closes it if its last answer rules out reuse or the pool is full.
     void release(std::string const& address, http::upstream_pointer connection,
                  std::optional<base::seconds> idle_timeout);
--- a/Libraries/http/upstream_connection.cpp
+++ b/Libraries/http/upstream_connection.cpp
@@ -248,6 +248,12 @@
     return code ? std::uint16_t{0} : local.port();
 }
 
+bool upstream_connection::ended_by_peer() {
+    char byte = 0;
+    auto const count = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void upstream_connection::close() {
     open_ = false;
     stream_.close();
--- a/Libraries/http/upstream_connection.h
+++ b/Libraries/http/upstream_connection.h
@@ -52,6 +52,8 @@
     bool reusable() const;
     /// Whether the peer has neither closed the connection nor sent bytes that nobody asked for.
     bool quiet();
+    /// Whether the peer has ended or reset the connection, as far as it is known without a message.
+    bool ended_by_peer();
     /// Records the name of a request that is about to be sent. Requests whose answers cannot be told apart have the
     /// same name: an answer may arrive once more and late, as the answer to the next request.
     void add_request_name(std::string_view name);
--- a/Libraries/log/event_kind.cpp
+++ b/Libraries/log/event_kind.cpp
@@ -83,6 +83,7 @@
     {run_sent, 827, info, "run_sent"},
     {run_ended, 828, info, "run_ended"},
     {run_stopped, 829, info, "run_stopped"},
+    {run_stated, 831, info, "run_stated"},
     {connection_end_judged, 830, info, "connection_end_judged"},
 }};
 
--- a/Libraries/log/event_kind.h
+++ b/Libraries/log/event_kind.h
@@ -84,6 +84,7 @@
     run_sent,
     run_ended,
     run_stopped,
+    run_stated,
     connection_end_judged,
 };
 inline constexpr std::size_t event_kind_count = static_cast<std::size_t>(event_kind::connection_end_judged) + 1;
--- a/Libraries/wire/message_kind.cpp
+++ b/Libraries/wire/message_kind.cpp
@@ -52,6 +52,8 @@
     {"permit_answer", control, verify<schema::PermitAnswer>},
     {"stream_origin_question", control, verify<schema::StreamOriginQuestion>},
     {"stream_origin", control, verify<schema::StreamOrigin>},
+    {"run_question", control, verify<schema::RunQuestion>},
+    {"run_statement", control, verify<schema::RunStatement>},
 }};
 
 } // namespace
--- a/Libraries/wire/message_kind.h
+++ b/Libraries/wire/message_kind.h
@@ -49,8 +49,10 @@
     permit_answer,
     stream_origin_question,
     stream_origin,
+    run_question,
+    run_statement,
 };
-inline constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::stream_origin) + 1;
+inline constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::run_statement) + 1;
 
 /// Whether a frame counts towards the control cost or carries callers' data.
 enum class traffic_kind : std::uint8_t { control, data };
@@ -113,6 +115,8 @@
 CYCLAMENLEDGE_MESSAGE(permit_answer, PermitAnswer)
 CYCLAMENLEDGE_MESSAGE(stream_origin_question, StreamOriginQuestion)
 CYCLAMENLEDGE_MESSAGE(stream_origin, StreamOrigin)
+CYCLAMENLEDGE_MESSAGE(run_question, RunQuestion)
+CYCLAMENLEDGE_MESSAGE(run_statement, RunStatement)
 
 #undef CYCLAMENLEDGE_MESSAGE
 
--- a/Tests/platform/engine_calls_test.cpp
+++ b/Tests/platform/engine_calls_test.cpp
@@ -23,6 +23,8 @@
 std::string const copied_answer = "HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n{\"handle\":\"h\",\"createRev\":3}";
 std::string const late = "HTTP/1.1 503 Busy\r\nX-Request-Id: other\r\nContent-Length: 2\r\n\r\nno";
 
+std::string const late_report = "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"kvTotal\":9}";
+
 struct outcome {
     platform::copy_result result;
     bool reusable{false};
@@ -57,6 +59,7 @@
         std::vector<row> const table{
             {"own answer", copied_answer, platform::copy_outcome::copied, true},
             {"after a late one", late + copied_answer, platform::copy_outcome::copied, false},
+            {"after a late report", late_report + copied_answer, platform::copy_outcome::copied, true},
         };
         for_each_row(table, [](row const& tested) {
             auto const seen = call_engine(tested.bytes, false);
