Ask the agent whether an engine that refuses connections lives on

A whole stream without a length or chunks was broken off or went on at another engine, because the engine had no room for the connection over which the entry asks whether its incarnation lives on, and a refused connection counted as the end of its process.

The agent is asked instead, as for runs that are stopped. A target without an agent lives while another connection to it is open.

--- a/Libraries/forwarding/connection_end.h
+++ b/Libraries/forwarding/connection_end.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "forwarding/run_handover.h"
+#include "forwarding/stop_judgement.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -21,6 +21,9 @@
 
 std::string_view name_of(incarnation_state state);
 
+/// The state of the incarnation of which the evidence is.
+incarnation_state state_shown_by(run_evidence evidence);
+
 /// Whether the end of its connection ends an answer that has neither a length nor chunks. The connections of a process
 /// that is killed end in the same way, and so does that of a run which the target has stopped.
 bool ends_whole_answer(incarnation_state state, stop_effect stopped);
--- a/Libraries/forwarding_entry/target_connections.cpp
+++ b/Libraries/forwarding_entry/target_connections.cpp
@@ -39,6 +39,12 @@
     return kept;
 }
 
+bool target_connections::any_open(std::string const& address) {
+    auto const pool = idle_.find(address);
+    return pool != idle_.end() &&
+           std::ranges::any_of(pool->second, [](auto const& idle) { return idle.connection->quiet(); });
+}
+
 http::upstream_pointer target_connections::take_idle(idle_pool& pool, std::string_view request,
                                                      base::milliseconds maximum_idle) {
     auto const now = base::clock::now();
--- a/Libraries/forwarding_entry/target_connections.h
+++ b/Libraries/forwarding_entry/target_connections.h
@@ -32,6 +32,8 @@
     /// A connection that has not carried a request of that name, however long it was idle. Null if there is none. The
     /// target may be about to close it.
     http::upstream_pointer take_any_idle(std::string const& address, std::string const& request);
+    /// Whether an idle connection to the target is open, so that the process which accepted it lives.
+    bool any_open(std::string const& address);
     /// Returns the connection to the pool, or closes it if its last answer rules out reuse or the pool is full.
     void release(std::string const& address, http::upstream_pointer connection,
                  std::optional<base::seconds> idle_timeout);
--- a/Libraries/forwarding_entry/target_inquiry.cpp
+++ b/Libraries/forwarding_entry/target_inquiry.cpp
@@ -1,5 +1,6 @@
 #include "forwarding_entry/target_inquiry.h"
 
+#include "forwarding_entry/run_witness_client.h"
 #include "log/logger.h"
 #include "network/endpoint.h"
 #include "platform/engine_calls.h"
@@ -29,10 +30,6 @@
     return std::clamp(left, base::milliseconds{1}, longest);
 }
 
-incarnation_state state_after(base::error const& failure) {
-    return failure.kind == base::error_kind::link_lost ? incarnation_state::ended : incarnation_state::unknown;
-}
-
 asio::awaitable<incarnation_state> connect_to(entry_parts& parts, target_inquiry const& asked) {
     auto const endpoint = network::parse_endpoint(asked.address);
     if (!endpoint)
@@ -41,7 +38,17 @@
     http::upstream_pointer const probe{new http::upstream_connection{parts.context.get_executor(), endpoint.value()}};
     auto const connected = co_await probe->connect(time_left(asked, target_connections::connect_timeout));
     probe->close();
-    co_return connected ? incarnation_state::running : state_after(connected.error());
+    if (connected || parts.connections.any_open(asked.address))
+        co_return incarnation_state::running;
+    co_return connected.error().kind == base::error_kind::link_lost ? incarnation_state::ended
+                                                                    : incarnation_state::unknown;
+}
+
+/// A target that has no room for another connection refuses it like one that has ended, so its agent is asked.
+asio::awaitable<incarnation_state> ask_agent(entry_parts& parts, target_inquiry const& asked) {
+    run_witness_client::run_question const question{asked.address, {}, asked.started_at};
+    auto const open = parts.witnesses.ask(question);
+    co_return forwarding::state_shown_by((co_await open->wait()).evidence);
 }
 
 asio::awaitable<incarnation_state> ask_for_report(entry_parts& parts, target_inquiry const& asked) {
@@ -53,7 +60,7 @@
             co_await parts.connections.acquire(asked.address, std::string{platform::unnamed_call},
                                                time_left(asked, target_connections::connect_timeout), idle);
         if (!connected)
-            co_return state_after(connected.error());
+            co_return co_await ask_agent(parts, asked);
         auto const& connection = connected.value();
         auto const report = co_await platform::read_report(*connection, time_left(asked, report_timeout));
         parts.connections.release(asked.address, connection, {});
--- a/Tests/forwarding/connection_end_test.cpp
+++ b/Tests/forwarding/connection_end_test.cpp
@@ -18,6 +18,7 @@
 class connection_end_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(connection_end_test);
     CPPUNIT_TEST(only_a_target_that_lives_on_ends_an_answer_with_its_connection);
+    CPPUNIT_TEST(evidence_of_a_run_shows_its_incarnation);
     CPPUNIT_TEST(calls_without_an_answer_may_have_stopped_the_run);
     CPPUNIT_TEST_SUITE_END();
 
@@ -43,6 +44,30 @@
         });
     }
 
+    // Guards against a target that counts as ended, or as alive, without a witness.
+    void evidence_of_a_run_shows_its_incarnation() {
+        struct row {
+            char const* name;
+            run_evidence evidence;
+            incarnation_state expected;
+        };
+        using enum run_evidence;
+        std::vector<row> const table{
+            {"no agent", none, incarnation_state::unknown},
+            {"the run is there", working, incarnation_state::running},
+            {"the run may wait", may_wait, incarnation_state::running},
+            {"the run is not there", not_there, incarnation_state::running},
+            {"a newer incarnation answers", replaced, incarnation_state::ended},
+            {"the agent's connection has ended, and new ones are refused", process_ended, incarnation_state::ended},
+            {"no answer to the agent", unresponsive, incarnation_state::unknown},
+            {"somebody has listed a newer incarnation", newer_listing, incarnation_state::unknown},
+        };
+        CPPUNIT_ASSERT_EQUAL(run_evidence_count, table.size());
+        for_each_row(table, [](row const& tested) {
+            CPPUNIT_ASSERT_EQUAL(name_of(tested.expected), name_of(state_shown_by(tested.evidence)));
+        });
+    }
+
     // Guards against a run that is taken for one that ended by itself, because the answer to the call that stopped it
     // was late or lost.
     void calls_without_an_answer_may_have_stopped_the_run() {
@@ -59,6 +84,7 @@
             {"kept", kept, false, stop_effect::certain},
             {"had ended", not_running, false, stop_effect::none},
             {"not running for the second call", not_running, true, stop_effect::possible},
+            {"gone after a lost call", gone, true, stop_effect::possible},
             {"no answer in time", unreachable, true, stop_effect::possible},
             {"could not be called", unreachable, false, stop_effect::none},
             {"refused", not_stopped, false, stop_effect::none},
--- a/Tests/process/full_targets/full_targets_test.cpp
+++ b/Tests/process/full_targets/full_targets_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST_SUITE(full_targets_test);
     CPPUNIT_TEST(streams_are_stopped_at_engines_that_refuse_connections);
     CPPUNIT_TEST(streams_wait_for_engines_without_an_agent);
+    CPPUNIT_TEST(unframed_streams_end_with_their_connection);
     CPPUNIT_TEST(streams_go_on_at_once_when_their_engine_has_ended);
     CPPUNIT_TEST_SUITE_END();
 
@@ -86,6 +87,23 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE(world.trace(request), std::size_t{1}, call.work.size());
     }
 
+    // Guards against a whole stream that counts as cut, because its engine takes no connection for the question whether
+    // it lives on.
+    void unframed_streams_end_with_their_connection() {
+        platform_world world{{.entries = 1, .engines = 6, .services = 1}};
+        prepare(world);
+        set_faults(world, {.unframed = 1});
+        std::string served;
+        std::jthread caller{[&] { served = world.call({request, "/gen/30", 4000}).body; }};
+        auto& engine = engine_of_stream(world);
+        world.act([&] { engine.proxy->stop_listening(); });
+        caller.join();
+        auto const call = world.act([&] { return *world.ledger().find(request); });
+        auto const trace = world.trace(request);
+        CPPUNIT_ASSERT_MESSAGE("the stream is not complete:\n" + trace, served.find("id: 30\n") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(trace, std::size_t{1}, call.work.size());
+    }
+
     // Guards against a stream that waits for a witness although its engine has ended: a pause of more than 180 ms makes
     // it late.
     void streams_go_on_at_once_when_their_engine_has_ended() {
