Blame no request for the crash of a target that only refuses connections

A target that had no room for another connection looked like a crashed one when a connection to it was lost: the request and the parts of its prompt got a crash record, and sound requests could be refused as the cause of crashes.

A target that refuses connections has crashed unless an open connection or its agent shows that it lives.

crash_detector_test has a row for a target that keeps one connection open and refuses others; without the change it records a crash.

--- a/Libraries/forwarding_entry/crash_detector.cpp
+++ b/Libraries/forwarding_entry/crash_detector.cpp
@@ -1,5 +1,6 @@
 #include "forwarding_entry/crash_detector.h"
 
+#include "forwarding/connection_end.h"
 #include "http/upstream_connection.h"
 #include "log/logger.h"
 #include "network/endpoint.h"
@@ -47,7 +48,7 @@
     auto const lost = expected ? forwarding::target_record{} : view->record;
     bool crashed = false;
     if (!expected) {
-        crashed = co_await refuses_connections(lost.address);
+        crashed = co_await has_ended(lost);
         if (!crashed) {
             examined->verdict.expires_at(base::clock::now());
             crashed = co_await is_replaced(lost);
@@ -84,6 +85,16 @@
     }
 }
 
+asio::awaitable<bool> crash_detector::has_ended(forwarding::target_record lost) {
+    // A target that has no room for another connection refuses it too.
+    if (!co_await refuses_connections(lost.address) || connections_.any_open(lost.address))
+        co_return false;
+    run_witness_client::run_question const asked{lost.address, {}, lost.started_at};
+    auto const question = witnesses_.ask(asked);
+    auto const statement = co_await question->wait();
+    co_return forwarding::state_shown_by(statement.evidence) != forwarding::incarnation_state::running;
+}
+
 asio::awaitable<bool> crash_detector::refuses_connections(std::string address) {
     auto const endpoint = network::parse_endpoint(address);
     if (!endpoint)
--- a/Libraries/forwarding_entry/crash_detector.h
+++ b/Libraries/forwarding_entry/crash_detector.h
@@ -2,6 +2,8 @@
 
 #include "base/time.h"
 #include "forwarding_entry/blackboard.h"
+#include "forwarding_entry/run_witness_client.h"
+#include "forwarding_entry/target_connections.h"
 #include "poison/request_content.h"
 #include "poison_control/poison_controller.h"
 
@@ -31,15 +33,18 @@
 };
 
 /// Tells crashes of targets from connections that only broke, and records a crash for each request that ran there. A
-/// target has crashed if its address refuses connections or belongs to another incarnation, and it had not announced
-/// that it leaves.
+/// target has crashed if its address belongs to another incarnation, or refuses connections while neither an open
+/// connection nor the target's agent shows that it lives, and it had not announced that it leaves.
 class crash_detector {
 public:
     crash_detector(boost::asio::io_context& context, blackboard const& board,
-                   poison_control::poison_controller& suspects)
+                   poison_control::poison_controller& suspects, target_connections& connections,
+                   run_witness_client& witnesses)
         : context_(context)
         , board_(board)
-        , suspects_(suspects) {}
+        , suspects_(suspects)
+        , connections_(connections)
+        , witnesses_(witnesses) {}
 
     /// Examines the target. Waits for the verdict if the request or a part of its prompt has a crash record already,
     /// because another one may decide whether the request may be sent again; otherwise returns at once.
@@ -59,12 +64,16 @@
 
     boost::asio::awaitable<void> conclude(std::string target, examination_pointer examined);
     void record(std::string const& target, forwarding::target_record const& lost, lost_run const& run);
+    /// Whether the target refuses connections, and nothing shows that it lives.
+    boost::asio::awaitable<bool> has_ended(forwarding::target_record lost);
     boost::asio::awaitable<bool> refuses_connections(std::string address);
     boost::asio::awaitable<bool> is_replaced(forwarding::target_record lost);
 
     boost::asio::io_context& context_;
     blackboard const& board_;
     poison_control::poison_controller& suspects_;
+    target_connections& connections_;
+    run_witness_client& witnesses_;
     /// By target, so that requests lost together cause one examination.
     std::map<std::string, examination_pointer> examinations_;
 };
--- a/Libraries/forwarding_entry/forwarding_entry_role.cpp
+++ b/Libraries/forwarding_entry/forwarding_entry_role.cpp
@@ -74,7 +74,7 @@
     , stream_origins_(daemon.context(), daemon.hub())
     , suspects_(daemon, board_.suspects, &crash_notice_recipients)
     , witnesses_(daemon.context(), daemon.hub(), agent_directory_)
-    , crashes_(daemon.context(), board_, suspects_)
+    , crashes_(daemon.context(), board_, suspects_, connections_, witnesses_)
     , agents_(daemon.hub(), board_, agent_directory_,
               static_cast<std::uint16_t>(daemon.settings().forwarding.agent_port))
     , parts_{daemon.context(), board_,      placements_,      permits_, notices_,        connections_,
--- a/Tests/forwarding_entry/crash_detector_test.cpp
+++ b/Tests/forwarding_entry/crash_detector_test.cpp
@@ -4,7 +4,9 @@
 #include "support/table_test.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <memory>
@@ -18,13 +20,20 @@
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
-enum class target_end : std::uint8_t { unlisted, leaving, crashed, connection_only };
+enum class target_end : std::uint8_t {
+    unlisted,
+    leaving,
+    crashed,
+    connection_only,
+    /// The target refuses connections and keeps one open.
+    full,
+};
 
 /// What is known of the target whose connection was lost.
 struct world {
     explicit world(target_end end)
         : daemon(process::runtime::create(settings()).value()) {
-        bool const listens = end == target_end::connection_only;
+        bool const listens = end == target_end::connection_only || end == target_end::full;
         acceptor.open(asio::ip::tcp::v4());
         acceptor.bind({asio::ip::address_v4::loopback(), 0});
         if (listens)
@@ -35,6 +44,28 @@
         record.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
         record.state = end == target_end::leaving ? forwarding::target_state::leaving : record.state;
         board.fleet.update_target(record, base::clock::now());
+        if (end == target_end::full)
+            keep_connection(record.address);
+    }
+
+    /// Leaves one idle connection to the target in the pool, and has the target refuse others.
+    void keep_connection(std::string const& address) {
+        asio::co_spawn(
+            daemon->context(),
+            [this, address]() -> asio::awaitable<void> {
+                auto const connected = co_await connections.acquire(address, "earlier", 1000ms, 1000ms);
+                auto const connection = connected.value();
+                http::request const message{http::beast_http::verb::get, "/", http::http_version_1_1};
+                if (!co_await connection->send(message, 1000ms) || !co_await connection->read_head(1000ms))
+                    co_return;
+                connections.release(address, connection, {});
+                acceptor.close();
+            },
+            asio::detached);
+        std::string const answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        acceptor.async_accept(peer, [&](boost::system::error_code) { asio::write(peer, asio::buffer(answer)); });
+        daemon->context().run_for(200ms);
+        daemon->context().restart();
     }
 
     static settings::process_settings settings() {
@@ -66,7 +97,11 @@
     forwarding_entry::blackboard board{make_fleet(), forwarding::retry_bound{}};
     poison::request_content content{7, {}};
     poison_control::poison_controller suspects{*daemon, board.suspects, poison_control::processes_of_same_role};
-    forwarding_entry::crash_detector detector{daemon->context(), board, suspects};
+    asio::ip::tcp::socket peer{daemon->context()};
+    forwarding_entry::target_connections connections{daemon->context().get_executor()};
+    forwarding_entry::agent_directory agents{daemon->hub()};
+    forwarding_entry::run_witness_client witnesses{daemon->context(), daemon->hub(), agents};
+    forwarding_entry::crash_detector detector{daemon->context(), board, suspects, connections, witnesses};
 };
 
 } // namespace
@@ -94,6 +129,7 @@
             {"target that has crashed", target_end::crashed, 1, 1},
             {"several requests at a target that has crashed", target_end::crashed, 3, 1},
             {"target that still listens", target_end::connection_only, 2, 0},
+            {"target that takes no more connections", target_end::full, 2, 0},
         };
         for_each_row(table, [](row const& tested) {
             world played{tested.end};
