Name the strings that awaited calls take

GCC 12 destroys a braced argument of an awaited call twice, and clang 14 cannot read std::ranges::stable_partition. The texts are short enough to have no memory of their own, so no fault was seen.

--- a/Libraries/forwarding_agent/run_witness.cpp
+++ b/Libraries/forwarding_agent/run_witness.cpp
@@ -39,7 +39,8 @@
 asio::awaitable<void> run_witness::answer(forwarding::engine_report report, http::upstream_pointer engine) {
     auto questions = std::exchange(taken_, {});
     // A call that stops a run takes time.
-    std::ranges::stable_partition(questions, [](auto const& question) { return !question.content.stop; });
+    std::stable_partition(questions.begin(), questions.end(),
+                          [](auto const& question) { return !question.content.stop; });
     for (auto const& question : questions) {
         auto const evidence = forwarding::find_evidence(report, question.content.request, question.content.started_at);
         auto statement = make_statement(question.content, evidence);
--- a/Libraries/forwarding_entry/stream_handover.cpp
+++ b/Libraries/forwarding_entry/stream_handover.cpp
@@ -382,8 +382,8 @@
 asio::awaitable<void> stream_exchange::open_connections(self_pointer, stream_run_pointer source) {
     auto const& id = request_.caller.id;
     constexpr auto timeout = target_connections::connect_timeout;
-    auto const stopping = co_await parts_.connections.acquire(source->address, std::string{platform::unnamed_call},
-                                                              timeout, maximum_idle());
+    std::string const call{platform::unnamed_call};
+    auto const stopping = co_await parts_.connections.acquire(source->address, call, timeout, maximum_idle());
     auto const next = co_await parts_.connections.acquire(source->copy_destination, id, timeout, maximum_idle());
     source->opening = false;
     if (stopping && next) {
@@ -435,8 +435,9 @@
 }
 
 asio::awaitable<platform::copy_result> stream_exchange::copy_once(stream_run_pointer source) {
+    std::string const call{platform::unnamed_call};
     auto const connected = co_await parts_.connections.acquire(
-        source->address, std::string{platform::unnamed_call}, target_connections::connect_timeout, unlimited_idle_time);
+        source->address, call, target_connections::connect_timeout, unlimited_idle_time);
     if (!connected || !parts_.board.fleet.take_copy_call(source->target, base::clock::now()))
         co_return platform::copy_result{};
     platform::copy_command command{request_.caller.id, source->copy_destination, false};
--- a/Libraries/forwarding_entry/target_inquiry.cpp
+++ b/Libraries/forwarding_entry/target_inquiry.cpp
@@ -53,12 +53,12 @@
 
 asio::awaitable<incarnation_state> ask_for_report(entry_parts& parts, target_inquiry const& asked) {
     auto idle = maximum_idle;
+    std::string const name{platform::unnamed_call};
     // A target in a hold-off is asked once.
     int const calls = parts.board.fleet.held_off(asked.target, base::clock::now()) ? 1 : maximum_calls;
     for (int call = 0; call < calls && base::clock::now() < asked.deadline; ++call) {
-        auto const connected =
-            co_await parts.connections.acquire(asked.address, std::string{platform::unnamed_call},
-                                               time_left(asked, target_connections::connect_timeout), idle);
+        auto const connected = co_await parts.connections.acquire(
+            asked.address, name, time_left(asked, target_connections::connect_timeout), idle);
         if (!connected)
             co_return co_await ask_agent(parts, asked);
         auto const& connection = connected.value();
