--- a/Tests/forwarding_entry/crash_detector_test.cpp
+++ b/Tests/forwarding_entry/crash_detector_test.cpp
@@ -54,7 +54,7 @@
             daemon->context(),
             [this, address]() -> asio::awaitable<void> {
                 auto const connected = co_await connections.acquire(address, "earlier", 1000ms, 1000ms);
-                auto const connection = connected.value();
+                auto const& connection = connected.value();
                 http::request const message{http::beast_http::verb::get, "/", http::http_version_1_1};
                 if (!co_await connection->send(message, 1000ms) || !co_await connection->read_head(1000ms))
                     co_return;
--- a/Tests/forwarding_entry/target_connections_test.cpp
+++ b/Tests/forwarding_entry/target_connections_test.cpp
@@ -53,7 +53,7 @@
         auto const connected = co_await pool.acquire(address, name, 1000ms, 1000ms);
         if (!connected)
             break;
-        auto const connection = connected.value();
+        auto const& connection = connected.value();
         http::request const message{http::beast_http::verb::get, "/", http::http_version_1_1};
         bool const answered = co_await connection->send(message, 1000ms) && co_await connection->read_head(1000ms) &&
                               co_await connection->read_whole_body(1000, 1000ms);
