Let the soak fill engines

The fault plan has an action more: an engine ends the connections that carry no request, takes none beside the others for 2 to 4 s, and its streams pause for 2 s and work on. Harmed targets no longer refuse connections, which the earlier form of the fault did beside stalls that never end and so were not judged.

--- a/Development/soak/fault_plan.cpp
+++ b/Development/soak/fault_plan.cpp
@@ -52,13 +52,14 @@
     , began_(base::clock::now()) {}
 
 std::span<fault_plan::action const> fault_plan::actions() {
-    static constexpr std::array<action, 17> table{{
+    static constexpr std::array<action, 18> table{{
         {"kill_entry", fault_reach::entries, &fault_plan::kill_entry},
         {"pause_entry", fault_reach::entries, &fault_plan::pause_entry},
         {"kill_agent", fault_reach::targets, &fault_plan::kill_agent},
         {"pause_agent", fault_reach::targets, &fault_plan::pause_agent},
         {"crash_target", fault_reach::targets, &fault_plan::crash_target},
         {"harm_target", fault_reach::targets, &fault_plan::harm_target},
+        {"fill_engine", fault_reach::targets, &fault_plan::fill_engine},
         {"harm_store", fault_reach::entries, &fault_plan::harm_store},
         {"forget_history", fault_reach::entries, &fault_plan::forget_history},
         {"restore_store", fault_reach::entries, &fault_plan::restore_store},
@@ -299,12 +300,28 @@
     harmed.begins_after_copy = site.usual.begins_after_copy;
     harmed.copy_answers_repeated = site.usual.copy_answers_repeated;
     site.target->set_faults(harmed);
-    // A target that is busy takes no connections beside those that are open.
-    if (random_.below(2) == 0)
-        site.proxy->stop_listening();
     co_await pause(500, 3000);
-    if (site.target->up() && !site.proxy->resume_listening())
-        ledger_.violation("the address of " + site.target->id() + " cannot be opened again");
+    site.target->set_faults(site.usual);
+}
+
+asio::awaitable<void> fault_plan::fill_engine() {
+    auto& site = any_target();
+    if (!site.target->where().engine || !site.target->up())
+        co_return;
+    auto full = site.usual;
+    full.paused = 1;
+    full.works_on = 1;
+    site.target->set_faults(full);
+    co_await pause(300, 800);
+    auto const incarnation = site.target->id();
+    if (site.target->up()) {
+        site.proxy->stop_listening();
+        site.target->stop_accepting();
+        co_await pause(2000, 4000);
+    }
+    bool const same = site.target->up() && site.target->id() == incarnation;
+    if (same && (!site.target->resume_accepting() || !site.proxy->resume_listening()))
+        ledger_.violation("the address of " + incarnation + " cannot be opened again");
     site.target->set_faults(site.usual);
 }
 
--- a/Development/soak/fault_plan.h
+++ b/Development/soak/fault_plan.h
@@ -53,6 +53,8 @@
     boost::asio::awaitable<void> crash_target();
     boost::asio::awaitable<void> leave_engine();
     boost::asio::awaitable<void> harm_target();
+    /// The engine takes no connections beside those that carry requests, and its streams pause and go on.
+    boost::asio::awaitable<void> fill_engine();
     boost::asio::awaitable<void> harm_store();
     boost::asio::awaitable<void> forget_history();
     boost::asio::awaitable<void> restore_store();
--- a/Tests/support/platform/target_standin.cpp
+++ b/Tests/support/platform/target_standin.cpp
@@ -86,12 +86,16 @@
     leaves_at_.reset();
     says_leaving_ = false;
     turns_away_until_ = {};
-    servers_.push_back(std::make_unique<http::server>(context_, http::server_limits{}, *this));
-    BOOST_OUTCOME_TRYV(servers_.back()->listen(where_.listen_address));
+    BOOST_OUTCOME_TRYV(resume_accepting());
     up_ = true;
     return base::success();
 }
 
+base::result<void> target_standin::resume_accepting() {
+    servers_.push_back(std::make_unique<http::server>(context_, http::server_limits{}, *this));
+    return servers_.back()->listen(where_.listen_address);
+}
+
 void target_standin::crash() {
     if (up_)
         end_incarnation({});
--- a/Tests/support/platform/target_standin.h
+++ b/Tests/support/platform/target_standin.h
@@ -165,6 +165,10 @@
     using crash_handler = std::function<void(std::string const& request)>;
     void set_crash_handler(crash_handler handler) { on_crash_ = std::move(handler); }
     void leave(base::milliseconds notice);
+    /// Takes no new connections and ends those that carry no request.
+    void stop_accepting() { servers_.back()->stop_accepting(); }
+    /// Takes connections again, in the same incarnation.
+    base::result<void> resume_accepting();
     /// Runs other software from its next start on.
     void set_version(std::string version) { where_.version = std::move(version); }
     bool up() const { return up_; }
