Fill no engine twice at the same time in the soak

Two overlapping actions opened the address of one engine twice, which the soak reported as a violation (). An engine that is full is left alone by the action.

--- a/Development/soak/fault_plan.cpp
+++ b/Development/soak/fault_plan.cpp
@@ -306,7 +306,7 @@
 
 asio::awaitable<void> fault_plan::fill_engine() {
     auto& site = any_target();
-    if (!site.target->where().engine || !site.target->up())
+    if (!site.target->where().engine || !site.target->up() || std::exchange(site.full, true))
         co_return;
     auto full = site.usual;
     full.paused = 1;
@@ -322,6 +322,7 @@
     bool const same = site.target->up() && site.target->id() == incarnation;
     if (same && (!site.target->resume_accepting() || !site.proxy->resume_listening()))
         ledger_.violation("the address of " + incarnation + " cannot be opened again");
+    site.full = false;
     site.target->set_faults(site.usual);
 }
 
--- a/Development/soak/fleet.h
+++ b/Development/soak/fleet.h
@@ -68,6 +68,8 @@
     std::unique_ptr<fault_proxy> agent_proxy;
     /// Faults of the target while nothing else harms it.
     platform::standin::target_faults usual;
+    /// Takes no new connections.
+    bool full{false};
 };
 
 /// The programs, the stand-ins of the platform and the proxies between them, on loopback.
