--- a/Tests/support/platform/store_standin.cpp
+++ b/Tests/support/platform/store_standin.cpp
@@ -5,6 +5,8 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
 #include <openssl/evp.h>
 
 #include <charconv>
@@ -29,11 +31,10 @@
     return text;
 }
 
-std::string query_value(std::string_view target, std::string_view name) {
-    auto const mark = std::string{name} + "=";
-    for (auto place = target.find(mark); place != std::string_view::npos; place = target.find(mark, place + 1)) {
-        if (place > 0 && (target[place - 1] == '?' || target[place - 1] == '&'))
-            return std::string{target.substr(place + mark.size(), target.find('&', place) - place - mark.size())};
+std::string parameter(boost::urls::url_view const& target, std::string_view name) {
+    for (auto const& item : target.params()) {
+        if (item.key == name)
+            return item.value;
     }
     return {};
 }
@@ -92,14 +93,19 @@
         timer->cancel();
 }
 
-http::response store_standin::list(std::string const& prefix) const {
+http::response store_standin::list(std::string const& prefix, std::string const& after) const {
     json::array items;
-    for (auto const& [key, value] : items_) {
-        if (key.starts_with(prefix) && !value.removed)
+    bool truncated = false;
+    for (auto position = items_.upper_bound(after); position != items_.end() && !truncated; ++position) {
+        auto const& [key, value] = *position;
+        if (!key.starts_with(prefix) || value.removed)
+            continue;
+        truncated = items.size() == page_size_;
+        if (!truncated)
             items.push_back(
                 json::object{{"key", key}, {"value", encode_base64(value.value)}, {"revision", value.revision}});
     }
-    return json_answer({{"items", std::move(items)}, {"asOf", revision_}, {"truncated", false}});
+    return json_answer({{"items", std::move(items)}, {"asOf", revision_}, {"truncated", truncated}});
 }
 
 bool store_standin::has_change(std::string const& prefix, std::uint64_t after) const {
@@ -139,10 +145,19 @@
 
 asio::awaitable<void> store_standin::handle(http::session_pointer client, http::request received) {
     std::string const target{received.target().data(), received.target().size()};
-    auto const prefix = query_value(target, "prefix");
-    if (target.starts_with("/-/kv-watch") && has_history(number(query_value(target, "after"))))
-        co_await wait_for_change(prefix, number(query_value(target, "after")),
-                                 base::milliseconds{number(query_value(target, "waitMs"))});
+    auto const parsed = boost::urls::parse_origin_form(target);
+    if (!parsed) {
+        ++malformed_calls_;
+        std::ignore = co_await client->send(http::make_response(400, "text/plain", "malformed target"));
+        co_return;
+    }
+    auto const prefix = parameter(*parsed, "prefix");
+    auto const after = parameter(*parsed, "after");
+    bool const listing = parsed->path() == "/-/kv-range";
+    if (listing)
+        ++page_calls_;
+    else if (has_history(number(after)))
+        co_await wait_for_change(prefix, number(after), base::milliseconds{number(parameter(*parsed, "waitMs"))});
     if (mode_ == store_mode::closing) {
         client->close();
         co_return;
@@ -154,12 +169,12 @@
         co_return;
     }
     http::response answer = http::make_response(503, "text/plain", "");
-    if (mode_ == store_mode::serving && target.starts_with("/-/kv-range"))
-        answer = list(prefix);
-    else if (mode_ == store_mode::serving && !has_history(number(query_value(target, "after"))))
+    if (mode_ == store_mode::serving && listing)
+        answer = list(prefix, after);
+    else if (mode_ == store_mode::serving && !has_history(number(after)))
         answer = http::make_response(410, "text/plain", "");
     else if (mode_ == store_mode::serving)
-        answer = changes(prefix, number(query_value(target, "after")));
+        answer = changes(prefix, number(after));
     answer.set("Store-Era", std::to_string(era_));
     std::ignore = co_await client->send(std::move(answer));
 }
--- a/Tests/support/platform/store_standin.h
+++ b/Tests/support/platform/store_standin.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -16,7 +17,8 @@
 
 enum class store_mode : std::uint8_t { serving, refusing, silent, closing };
 
-/// A metadata store for tests: documents with revisions, listings and watches.
+/// A metadata store for tests: documents with revisions, listings in pages and watches. It decodes queries as HTML
+/// forms encode them, where "+" is a blank, and refuses request targets that are not well formed.
 class store_standin : public http::request_handler {
 public:
     explicit store_standin(boost::asio::io_context& context);
@@ -28,6 +30,12 @@
     void put_target(std::string const& id, std::string const& text) { put("servers/" + id, text); }
     void remove_target(std::string const& id) { remove("servers/" + id); }
     std::vector<std::string> target_ids() const;
+    /// Most items of a listing's page.
+    void set_page_size(std::size_t items) { page_size_ = items; }
+    /// Calls that were refused because their target is not well formed.
+    std::uint64_t malformed_calls() const { return malformed_calls_; }
+    /// Pages of listings that were asked for.
+    std::uint64_t page_calls() const { return page_calls_; }
     void set_mode(store_mode mode);
     /// Watches from an older revision are told to list again.
     void forget_history() { oldest_ = revision_; }
@@ -53,7 +61,7 @@
     void put(std::string const& key, std::string const& value);
     void remove(std::string const& key);
     void wake_watches();
-    http::response list(std::string const& prefix) const;
+    http::response list(std::string const& prefix, std::string const& after) const;
     http::response changes(std::string const& prefix, std::uint64_t after) const;
     bool has_change(std::string const& prefix, std::uint64_t after) const;
     bool has_history(std::uint64_t after) const { return after >= oldest_ && after <= revision_; }
@@ -67,6 +75,9 @@
     std::uint64_t revision_{100};
     std::uint64_t oldest_{0};
     std::uint64_t era_{1};
+    std::size_t page_size_{std::numeric_limits<std::size_t>::max()};
+    std::uint64_t malformed_calls_{0};
+    std::uint64_t page_calls_{0};
     stored_copy copy_;
     store_mode mode_{store_mode::serving};
 };
