Take no message for an answer whose status is none

Callers: a target in trouble that sent the status 600 or 999 reached its client as "HTTP/1.1 000" with the target's bytes. After 000 or 050 the client got what stood in the body as a 200, if it read as a whole answer, or waited until its deadline.

Cause: upstream_connection passed over every head below 200 as an interim answer, and took every number from 200 for an answer. http::exchange and line_stream, which the product's own agents use, took any number, also that of an interim answer.

Change: kind_of_status says what a number is, in one place: 100 to 199 without 101 an interim answer, 200 to 599 an answer, the rest none. Reading fails at once for what is none, and its connection is closed. The attempt counts as failed with an unknown outcome, as a 502 does: routing learns of it, and a request that may run again goes on to another target within the bound on repeats.

--- a/Libraries/http/client.cpp
+++ b/Libraries/http/client.cpp
@@ -1,5 +1,7 @@
 #include "http/client.h"
 
+#include "http/status_kind.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -21,6 +23,7 @@
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 // Received and not yet parsed, such as an incomplete chunk extension.
 constexpr std::size_t maximum_unparsed_bytes = 64UL * 1024;
+constexpr int most_interim_answers = 16;
 
 client_error make_client_error(request_progress progress, beast::error_code const& code) {
     return {progress, base::make_error(base::error_kind::io_failed, code.message())};
@@ -56,13 +59,24 @@
     if (write_code)
         co_return make_client_error(request_progress::sent, write_code);
     beast::flat_buffer buffer{maximum_unparsed_bytes};
-    beast_http::response_parser<beast_http::string_body> parser;
-    parser.body_limit(maximum_body_bytes);
-    parser.skip(message.method() == beast_http::verb::head);
-    auto [read_code, read] = co_await beast_http::async_read(stream, buffer, parser, use_tuple);
-    if (read_code)
-        co_return make_client_error(request_progress::sent, read_code);
-    co_return parser.release();
+    for (int interim = 0; interim <= most_interim_answers; ++interim) {
+        beast_http::response_parser<beast_http::string_body> parser;
+        parser.body_limit(maximum_body_bytes);
+        parser.skip(message.method() == beast_http::verb::head);
+        auto [head_code, head_bytes] = co_await beast_http::async_read_header(stream, buffer, parser, use_tuple);
+        if (head_code)
+            co_return make_client_error(request_progress::sent, head_code);
+        auto const kind = kind_of_status(parser.get().result_int());
+        if (kind == status_kind::no_answer)
+            break;
+        if (kind == status_kind::interim)
+            continue;
+        auto [read_code, read_bytes] = co_await beast_http::async_read(stream, buffer, parser, use_tuple);
+        if (read_code)
+            co_return make_client_error(request_progress::sent, read_code);
+        co_return parser.release();
+    }
+    co_return make_client_error(request_progress::sent, beast_http::error::bad_status);
 }
 
 } // namespace cyclamenledge::http
--- a/Libraries/http/line_stream.cpp
+++ b/Libraries/http/line_stream.cpp
@@ -1,5 +1,7 @@
 #include "http/line_stream.h"
 
+#include "http/status_kind.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
@@ -49,7 +51,11 @@
     auto [read_code, read] = co_await beast_http::async_read_header(stream_, buffer_, parser_, use_tuple);
     if (read_code)
         co_return make_client_error(request_progress::sent, read_code);
-    co_return parser_.get().result_int();
+    auto const status = parser_.get().result_int();
+    // Also for an interim answer, which nothing of this process asks for.
+    if (kind_of_status(status) != status_kind::answer)
+        co_return make_client_error(request_progress::sent, beast_http::error::bad_status);
+    co_return status;
 }
 
 awaitable_result<std::string> line_stream::read_line(base::milliseconds timeout) {
--- a/Libraries/http/upstream_connection.cpp
+++ b/Libraries/http/upstream_connection.cpp
@@ -1,6 +1,7 @@
 #include "http/upstream_connection.h"
 
 #include "base/hash.h"
+#include "http/status_kind.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -30,7 +31,6 @@
 constexpr std::ptrdiff_t most_answer_fields = 256;
 // Bytes that are received and not yet parsed, such as an incomplete head, chunk extension or trailer.
 constexpr std::size_t maximum_unparsed_bytes = longest_answer_head;
-constexpr unsigned lowest_final_status = 200;
 // Bounds the memory of a connection that is used for hours: 4 KiB. It is closed after this many requests.
 constexpr std::size_t most_request_names = 512;
 constexpr std::size_t maximum_kept_buffer = 4UL * 1024;
@@ -138,8 +138,11 @@
         auto [code, bytes] = co_await beast_http::async_read_header(stream_, buffer_, *parser_, as_tuple);
         if (code)
             co_return fail_read(code);
+        auto const kind = kind_of_status(parser_->get().result_int());
+        if (kind == status_kind::no_answer)
+            co_return fail_read(beast_http::error::bad_status);
         // Interim answers carry nothing for the caller.
-        if (parser_->get().result_int() >= lowest_final_status)
+        if (kind == status_kind::answer)
             break;
         if (bytes >= bytes_left)
             co_return fail_read(beast_http::error::header_limit);
--- a/Libraries/http/upstream_connection.h
+++ b/Libraries/http/upstream_connection.h
@@ -33,8 +33,9 @@
 
     awaitable_result<void> connect(base::milliseconds timeout);
     awaitable_result<void> send(request const& message, base::milliseconds timeout);
-    /// Reads the head of the next answer. The limits of time and bytes are for the head with all interim answers before
-    /// it. The answer to a HEAD request has no body.
+    /// Reads the head of the next answer, whose status is from 200 to 599. Fails with io_failed for a message that is
+    /// no answer. The limits of time and bytes are for the head with all interim answers before it. The answer to a
+    /// HEAD request has no body.
     awaitable_result<response_head> read_head(base::milliseconds timeout, bool body_expected = true);
     /// The next part of the body, empty at its end. Fails when the answer is cut off. Bytes that arrived before the
     /// time limit are read even if it has passed.
--- a/Tests/support/platform_process/raw_target.cpp
+++ b/Tests/support/platform_process/raw_target.cpp
@@ -2,12 +2,15 @@
 
 #include <boost/algorithm/string/replace.hpp>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <sys/socket.h>
 #include <utility>
 
 namespace cyclamenledge::tests::process {
@@ -21,6 +24,14 @@
 constexpr std::chrono::milliseconds delivery_time{10};
 constexpr int started_at = 1;
 
+/// The value behind the name, which ends with a colon and a blank. Empty when the head lacks it.
+std::string field_value(std::string const& head, std::string const& name) {
+    auto const at = head.find(name);
+    if (at == std::string::npos)
+        return {};
+    return head.substr(at + name.size(), head.find("\r\n", at) - at - name.size());
+}
+
 } // namespace
 
 raw_target::raw_target(std::string service, std::string answer, answer_end end)
@@ -31,6 +42,12 @@
 
 raw_target::~raw_target() {
     stopped_ = true;
+    {
+        // Ends the wait for the next request.
+        std::lock_guard const lock{mutex_};
+        if (served_connection_ >= 0)
+            ::shutdown(served_connection_, SHUT_RDWR);
+    }
     // Ends the wait for the next connection.
     tcp::socket last{context_};
     boost::system::error_code ignored;
@@ -67,30 +84,55 @@
         tcp::socket peer{context_};
         acceptor_.accept(peer, code);
         if (!code && !stopped_)
-            answer(peer);
+            serve_connection(peer);
     }
 }
 
-void raw_target::answer(tcp::socket& peer) {
+void raw_target::serve_connection(tcp::socket& peer) {
+    {
+        std::lock_guard const lock{mutex_};
+        served_connection_ = peer.native_handle();
+    }
+    asio::streambuf received;
+    first_request_ = true;
+    while (!stopped_ && answer(peer, received)) {
+    }
+    std::lock_guard const lock{mutex_};
+    served_connection_ = -1;
+    // The destructor of the socket would end the connection without a reset.
     boost::system::error_code code;
-    asio::streambuf buffer;
-    asio::read_until(peer, buffer, "\r\n\r\n", code);
-    std::string const head{asio::buffers_begin(buffer.data()), asio::buffers_end(buffer.data())};
-    std::string const name = "X-Request-Id: ";
+    peer.close(code);
+}
+
+bool raw_target::answer(tcp::socket& peer, asio::streambuf& received) {
+    boost::system::error_code code;
+    auto const size = asio::read_until(peer, received, "\r\n\r\n", code);
+    std::string const head{asio::buffers_begin(received.data()),
+                           asio::buffers_begin(received.data()) + static_cast<std::ptrdiff_t>(size)};
     if (!code && head.starts_with("GET /-/report ")) {
         asio::write(peer, asio::buffer(report()), code);
-        return;
+        return false;
     }
-    auto const at = head.find(name);
-    if (code || at == std::string::npos)
-        return;
+    auto const id = field_value(head, "X-Request-Id: ");
+    if (code || id.empty())
+        return false;
+    received.consume(size);
+    // A connection that is closed before its bytes are read is reset.
+    auto const body = field_value(head, "Content-Length: ");
+    auto const body_size = body.empty() ? std::size_t{0} : std::stoul(body);
+    if (received.size() < body_size)
+        asio::read(peer, received, asio::transfer_exactly(body_size - received.size()), code);
+    received.consume(body_size);
     ++requests_;
-    auto const id = head.substr(at + name.size(), head.find("\r\n", at) - at - name.size());
+    if (std::exchange(first_request_, false))
+        ++connections_;
     std::unique_lock lock{mutex_};
     auto const end = end_;
     auto const bytes = boost::algorithm::replace_all_copy(answer_, "ID", id);
     lock.unlock();
     asio::write(peer, asio::buffer(bytes), code);
+    if (end == answer_end::keep)
+        return !code;
     std::this_thread::sleep_for(delivery_time);
     if (end == answer_end::reset)
         peer.set_option(asio::socket_base::linger{true, 0}, code);
@@ -98,8 +140,7 @@
         stopped_ = true;
         acceptor_.close(code);
     }
-    // The destructor would end the connection without a reset.
-    peer.close(code);
+    return false;
 }
 
 } // namespace cyclamenledge::tests::process
--- a/Tests/support/platform_process/raw_target.h
+++ b/Tests/support/platform_process/raw_target.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/streambuf.hpp>
 
 #include <atomic>
 #include <mutex>
@@ -14,12 +15,14 @@
 enum class answer_end {
     close,
     reset,
+    /// The connection stays open for further requests until the entry ends it.
+    keep,
     /// The target's process ends, so that it takes no connection any more.
     process_end,
 };
 
-/// Answers each request with the same bytes, in which ID stands for the id of the request, and ends the connection.
-/// Questions for its load are answered as by a sound engine.
+/// Answers each request with the same bytes, in which ID stands for the id of the request, and ends the connection
+/// unless told otherwise. Questions for its load are answered as by a sound engine. One connection is served at a time.
 class raw_target {
 public:
     raw_target(std::string service, std::string answer, answer_end end);
@@ -33,12 +36,16 @@
     void replace_incarnation() { replaced_ = true; }
     std::string announcement() const;
     int requests() const { return requests_; }
+    /// Connections that have carried a request.
+    int connections() const { return connections_; }
 
 private:
     /// The answer to a question for the load, which names the incarnation.
     std::string report() const;
     void serve();
-    void answer(boost::asio::ip::tcp::socket& peer);
+    void serve_connection(boost::asio::ip::tcp::socket& peer);
+    /// Answers the next request of the connection. Returns whether another one may follow.
+    bool answer(boost::asio::ip::tcp::socket& peer, boost::asio::streambuf& received);
 
     std::string service_;
     std::mutex mutex_;
@@ -47,6 +54,11 @@
     std::atomic<bool> stopped_{false};
     std::atomic<bool> replaced_{false};
     std::atomic<int> requests_{0};
+    std::atomic<int> connections_{0};
+    /// Whether the connection has carried none yet. Only the serving thread uses it.
+    bool first_request_{true};
+    /// The connection that is being served, or -1. Guarded by the mutex.
+    int served_connection_{-1};
     boost::asio::io_context context_;
     boost::asio::ip::tcp::acceptor acceptor_{context_, {boost::asio::ip::address_v4::loopback(), 0}};
     boost::asio::ip::tcp::endpoint address_{acceptor_.local_endpoint()};
