Pass statuses on by their number

Callers: a status of a target that the HTTP library has no name for, such as 299, 425 or 520, reached them as 000.

Cause: copy_headers copied the value of the library's enumeration, which is 0 for every number that it does not know.

Change: the number is copied, with the reason of the target. What lies outside of 200 to 599 does not get here.

--- a/Libraries/forwarding_entry/answers.cpp
+++ b/Libraries/forwarding_entry/answers.cpp
@@ -13,7 +13,8 @@
 constexpr double milliseconds_per_second = 1000.0;
 
 void copy_headers(http::response_head const& source, http::response_head& destination) {
-    destination.result(source.result());
+    // The number, because the library's enumeration has no value for statuses that it does not know.
+    destination.result(source.result_int());
     destination.reason(source.reason());
     for (auto const& field : source) {
         auto const name = field.name_string();
--- a/Tests/process/odd_answers/odd_answers_test.cpp
+++ b/Tests/process/odd_answers/odd_answers_test.cpp
@@ -173,6 +173,7 @@
     CPPUNIT_TEST(odd_heads_are_no_answers);
     CPPUNIT_TEST(requests_that_may_run_again_go_on_elsewhere);
     CPPUNIT_TEST(fields_behind_chunks_are_not_passed_on);
+    CPPUNIT_TEST(statuses_without_a_known_name_are_passed_on);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -235,6 +236,38 @@
         });
     }
 
+    // A status is a number; whoever gives one of another name means something by it.
+    void statuses_without_a_known_name_are_passed_on() {
+        odd_world world;
+        raw_target service{soak::plain_service, {}, answer_end::keep};
+        raw_target engine{soak::engine_service, {}, answer_end::keep};
+        world.announce("service", service);
+        world.announce("engine", engine);
+        struct row {
+            std::string name;
+            unsigned status;
+        };
+        std::vector<row> const table{
+            {"299 Fine", 299},    {"399 Elsewhere", 399}, {"425 Too Early", 425},           {"499 Given Up", 499},
+            {"520 Unknown", 520}, {"599 Last", 599},      {"201 Made of other words", 201}, {"409 Conflict", 409},
+        };
+        for_each_row(table, [&](row const& tested) {
+            for (auto const& route : routes) {
+                bool const stream = std::string_view{route.service} == soak::engine_service;
+                // A failed stream that may run again is sent to another engine, and there is none.
+                if (stream && route.may_run_again && tested.status >= 500)
+                    continue;
+                auto& target = stream ? engine : service;
+                target.set_answer(with_body("HTTP/1.1 " + tested.name + "\r\n" + own_headers, "own bytes"),
+                                  answer_end::keep);
+                auto const answer = world.call(route);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(route.path, tested.status, answer.status);
+                CPPUNIT_ASSERT_EQUAL(std::string{"own bytes"}, answer.body);
+                CPPUNIT_ASSERT(answer.header("X-Response-Stamp").starts_with("s."));
+            }
+        });
+    }
+
 private:
     /// On a new connection and on one that has carried a request. The connection stays open, so that only the odd bytes
     /// themselves show that no answer comes.
