--- a/Libraries/network/endpoint.cpp
+++ b/Libraries/network/endpoint.cpp
@@ -1,6 +1,7 @@
 #include "network/endpoint.h"
 
 #include <charconv>
+#include <sstream>
 
 namespace cyclamenledge::network {
 
@@ -27,6 +28,12 @@
     return asio::ip::tcp::endpoint{ip, port};
 }
 
+std::string address_text(asio::ip::tcp::endpoint const& endpoint) {
+    std::ostringstream text;
+    text << endpoint;
+    return text.str();
+}
+
 base::result<void> open_acceptor(asio::ip::tcp::acceptor& acceptor, std::string const& address) {
     BOOST_OUTCOME_TRY(auto const endpoint, parse_endpoint(address));
     boost::system::error_code code;
--- a/Tests/platform/decoding_test.cpp
+++ b/Tests/platform/decoding_test.cpp
@@ -30,6 +30,7 @@
 class decoding_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(decoding_test);
     CPPUNIT_TEST(targets);
+    CPPUNIT_TEST(addresses_are_written_anew);
     CPPUNIT_TEST(engine_reports);
     CPPUNIT_TEST(configuration);
     CPPUNIT_TEST(caller_requests);
@@ -96,6 +97,36 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, static_cast<std::int64_t>(record.cold_left.count()));
     }
 
+    // Guards against an address that is read as a sound one although other text stands in it, which becomes part of the
+    // headers that name the target to others.
+    void addresses_are_written_anew() {
+        struct row {
+            char const* name;
+            char const* address;
+            bool accepted;
+        };
+        std::vector<row> const table{
+            {"usual", "10.0.0.1:80", true},
+            {"IPv6", "[fd00::1]:80", true},
+            {"IPv6 with a zone", "[fe80::1%1]:80", true},
+            {"NUL inside", R"(10.0.0.1\u0000\r\nX-Injected: 1:80)", true},
+            {"line end inside", R"(10.0.0.1\r\nX-Injected: 1:80)", false},
+            {"line end in the zone", R"([fe80::1%1\r\nX-Injected: 1]:80)", true},
+            {"line end behind the port", R"(10.0.0.1:80\r\nX-Injected: 1)", false},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto const text = std::string{R"({"service":"s","zone":"z","slots":24,"state":"ready","address":")"} +
+                              tested.address + R"("})";
+            auto const record = platform::decode_target("id", text);
+            CPPUNIT_ASSERT_EQUAL(tested.accepted, record.has_value());
+            if (record)
+                CPPUNIT_ASSERT_EQUAL(std::string::npos, record.value().address.find("X-Injected"));
+        });
+        auto const usual =
+            std::string{R"({"service":"s","zone":"z","slots":24,"state":"ready","address":"10.0.0.1:80"})"};
+        CPPUNIT_ASSERT_EQUAL(std::string{"10.0.0.1:80"}, platform::decode_target("id", usual).value().address);
+    }
+
     void engine_reports() {
         auto const report = platform::decode_engine_report(
             R"({"queued":2,"active":3,"kvUsed":100,"kvTotal":900,"runs":[["a",1,2,5]],"state":"draining","leaves_ms":345})");
