--- a/Tests/platform/engine_calls_test.cpp
+++ b/Tests/platform/engine_calls_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST_SUITE(engine_calls_test);
     CPPUNIT_TEST(late_answers_to_requests_are_no_answers_to_calls);
     CPPUNIT_TEST(a_run_counts_as_stopped_only_by_an_answer_that_says_so);
+    CPPUNIT_TEST(handles_that_would_end_a_header_are_none);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -100,6 +101,32 @@
         });
     }
 
+    // Guards against a handle from which an engine in trouble makes headers of the next request.
+    void handles_that_would_end_a_header_are_none() {
+        struct row {
+            char const* name;
+            char const* handle;
+            bool usable;
+        };
+        std::vector<row> const table{
+            {"usual", "h-1", true},
+            {"delimiters", "h/1,2;3", true},
+            {"line end", R"(h\r\nX-Injected: 1)", false},
+            {"line feed", R"(h\nX-Injected: 1)", false},
+            {"NUL", R"(h\u0000)", false},
+            {"blank at the end", "h ", false},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto const body = std::string{R"({"handle":")"} + tested.handle + "\"}";
+            auto const seen = call_engine(
+                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body, false);
+            CPPUNIT_ASSERT_EQUAL(tested.usable, !seen.result.handle.empty());
+            CPPUNIT_ASSERT_EQUAL(
+                platform::name_of(tested.usable ? platform::copy_outcome::copied : platform::copy_outcome::failed),
+                platform::name_of(seen.result.outcome));
+        });
+    }
+
 private:
     static outcome call_engine(std::string const& answer, bool closes) {
         asio::io_context context;
