--- a/Libraries/forwarding/route_set.h
+++ b/Libraries/forwarding/route_set.h
@@ -30,6 +30,7 @@
 
     std::vector<route> const& routes() const { return routes_; }
     std::vector<service> const& services() const { return services_; }
+    std::vector<organisation> const& organisations() const { return organisations_; }
 
 private:
     struct text_hash {
--- a/Libraries/forwarding_entry/publication_controller.cpp
+++ b/Libraries/forwarding_entry/publication_controller.cpp
@@ -1,5 +1,6 @@
 #include "forwarding_entry/publication_controller.h"
 
+#include "http/message.h"
 #include "log/logger.h"
 #include "platform/operator_documents.h"
 #include "platform/target_documents.h"
@@ -93,6 +94,11 @@
                                                         {"revision", change.content.revision.number},
                                                         {"source", source},
                                                         {"routes", board_.routes->routes().size()}});
+    for (auto const& organisation : board_.routes->organisations()) {
+        if (!http::can_be_header_value(organisation.name))
+            log::write(log::event_kind::organisation_ignored,
+                       {{"organisation", organisation.name}, {"version", change.content.version}});
+    }
 }
 
 void publication_controller::set_evacuated(std::string const& failure_domain, bool evacuated, std::uint64_t revision,
@@ -176,8 +182,7 @@
     use_target(record.value(), revision, source);
 }
 
-void publication_controller::ignore_target(std::string const& name, std::uint64_t revision,
-                                           base::error const& reason) {
+void publication_controller::ignore_target(std::string const& name, std::uint64_t revision, base::error const& reason) {
     board_.fleet.remove_target(name, false, base::clock::now());
     metrics_.add(metrics::counter_kind::announcements_ignored);
     if (ignored_targets_.insert(name).second)
--- a/Libraries/log/event_kind.cpp
+++ b/Libraries/log/event_kind.cpp
@@ -25,6 +25,7 @@
     {store_history_lost, 208, info, "store_history_lost"},
     {failure_domain_evacuated, 209, info, "failure_domain_evacuated"},
     {failure_domain_returned, 210, info, "failure_domain_returned"},
+    {organisation_ignored, 211, warning, "organisation_ignored"},
     {link_up, 301, info, "link_up"},
     {link_down, 302, warning, "link_down"},
     {link_suspect, 303, warning, "link_suspect"},
--- a/Libraries/log/event_kind.h
+++ b/Libraries/log/event_kind.h
@@ -26,6 +26,7 @@
     store_history_lost,
     failure_domain_evacuated,
     failure_domain_returned,
+    organisation_ignored,
     link_up,
     link_down,
     link_suspect,
--- a/Tests/platform/decoding_test.cpp
+++ b/Tests/platform/decoding_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(addresses_are_written_anew);
     CPPUNIT_TEST(engine_reports);
     CPPUNIT_TEST(configuration);
+    CPPUNIT_TEST(organisations_whose_name_would_end_a_header_have_no_keys);
     CPPUNIT_TEST(caller_requests);
     CPPUNIT_TEST(shared_prompt_parts);
     CPPUNIT_TEST(forwarded_requests);
@@ -141,6 +142,32 @@
         CPPUNIT_ASSERT(!platform::decode_engine_report("{}").has_value());
     }
 
+    // Guards against a name from which headers of requests are made. The other organisations keep their keys, and
+    // requests without a key stay refused.
+    void organisations_whose_name_would_end_a_header_have_no_keys() {
+        struct row {
+            char const* name;
+            char const* organisation;
+            bool usable;
+        };
+        std::vector<row> const table{
+            {"usual", "huka270", true},
+            {"blank and letters beyond ASCII", "H\u00fcka & Co + 1", true},
+            {"line end", R"(o\r\nX-Injected: 1)", false},
+            {"NUL", R"(o\u0000)", false},
+            {"blank at the end", "o ", false},
+        };
+        for_each_row(table, [](row const& tested) {
+            auto const routes = platform::decode_configuration(
+                std::string{R"({"version":7,"tenants":[{"name":")"} + tested.organisation +
+                R"(","apiKeys":["odd"]},{"name":"sound","apiKeys":["key"]}]})");
+            CPPUNIT_ASSERT(routes.has_value());
+            CPPUNIT_ASSERT_EQUAL(tested.usable, routes.value()->find_organisation("odd") != nullptr);
+            CPPUNIT_ASSERT(routes.value()->find_organisation("key") != nullptr);
+            CPPUNIT_ASSERT(routes.value()->requires_key());
+        });
+    }
+
     // Guards against requests of an unknown kind that are run twice.
     void configuration() {
         auto const routes = platform::decode_configuration(R"({"version":7,"routes":[
