Keep bytes from outside in readable lines of the log

Operators: `cyclamenctl trace` found no line of a request whose id was not UTF-8, because its lines were no JSON. A line for people held control bytes other than line ends and tabs as they came, which a terminal obeys.

Cause: the log put texts into its lines that are only escaped as far as they are UTF-8, or only as far as they end a line.

Change: bytes that are not UTF-8 are written as the characters of their number, and cyclamenctl looks for an id in the same form. Values with control bytes are quoted and escaped in lines for people.

--- a/Libraries/log/logger.cpp
+++ b/Libraries/log/logger.cpp
@@ -11,7 +11,9 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <memory>
 
 namespace cyclamenledge::log {
@@ -27,7 +29,9 @@
 }
 
 bool needs_quotes(std::string_view value) {
-    return value.empty() || value.find_first_of(" \"\\=\n\r\t") != std::string_view::npos;
+    // Control bytes could end the line, or move the cursor of whoever reads it.
+    return value.empty() || value.find_first_of(" \"\\=") != std::string_view::npos ||
+           std::ranges::any_of(value, [](unsigned char letter) { return std::iscntrl(letter) != 0; });
 }
 
 log4cplus::Logger& event_logger() {
@@ -63,7 +67,7 @@
     for (auto const& [name, value] : fields) {
         line += ",\"";
         line += name;
-        line += "\":\"" + base::escape_json(value) + '"';
+        line += "\":\"" + base::escape_json(base::text_of_bytes(value)) + '"';
     }
     line += '}';
     return line;
@@ -115,7 +119,7 @@
         line += name;
         line += '=';
         if (needs_quotes(value))
-            line += '"' + base::escape_json(value) + '"';
+            line += '"' + base::escape_json(base::text_of_bytes(value)) + '"';
         else
             line += value;
     }
--- a/Utilities/cyclamenctl/trace_command.cpp
+++ b/Utilities/cyclamenctl/trace_command.cpp
@@ -1,5 +1,6 @@
 #include "trace_command.h"
 
+#include "base/json_text.h"
 #include "trace/order_breaks.h"
 #include "trace/request_trace.h"
 #include "trace/stream_runs.h"
@@ -41,7 +42,7 @@
         }
         read_lines(file, lines);
     }
-    auto const path = lines.find(request_);
+    auto const path = lines.find(base::text_of_bytes(request_));
     for (auto const& line : path)
         std::cout << trace::describe(line) << '\n';
     auto const runs = trace::find_runs(path);
