--- a/Tests/platform/store_listing_test.cpp
+++ b/Tests/platform/store_listing_test.cpp
@@ -12,7 +12,9 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace cyclamenledge::tests {
@@ -26,6 +28,14 @@
 
 constexpr base::milliseconds time_limit{1000};
 
+asio::awaitable<void> watch(asio::io_context& context, asio::ip::tcp::endpoint store,
+                            std::optional<base::result<platform::store_changes>>& seen) {
+    platform::store_client client{context.get_executor(), store, store_part::targets};
+    forwarding::store_revision const after{0, 5};
+    seen = co_await client.watch(after, time_limit, time_limit);
+    context.stop();
+}
+
 /// An address of this process alone, so that runs at the same time do not meet.
 std::string store_address() {
     auto const process = static_cast<unsigned>(::getpid());
@@ -41,12 +51,68 @@
     context.stop();
 }
 
+/// Answers one call after the other with the given bodies, and the last one again and again.
+class scripted_store : public http::request_handler {
+public:
+    scripted_store(asio::io_context& context, std::vector<std::string> pages)
+        : server_(context, {}, *this)
+        , pages_(std::move(pages)) {}
+
+    base::result<void> listen(std::string const& address) { return server_.listen(address); }
+
+    asio::awaitable<void> handle(http::session_pointer client, http::request) override {
+        auto const number = std::min(calls_++, pages_.size() - 1);
+        std::ignore = co_await client->send(http::make_response(200, "application/json", pages_.at(number)));
+    }
+
+private:
+    http::server server_;
+    std::vector<std::string> pages_;
+    std::size_t calls_{0};
+};
+
+std::string page(std::string const& items, bool truncated) {
+    return R"({"asOf":7,"truncated":)" + std::string{truncated ? "true" : "false"} + R"(,"items":[)" + items + "]}";
+}
+
+/// An item whose value is the base64 text of an empty JSON object. The key is written as it is.
+std::string item(std::string const& name) {
+    return R"({"key":"servers/)" + name + R"(","value":"e30=","revision":5})";
+}
+
+struct odd_item {
+    char const* name;
+    std::string item;
+};
+
+std::vector<odd_item> odd_items() {
+    std::string const value(400'000, 'A');
+    return {
+        {"key that is not UTF-8", item("\xff\xfe")},
+        {"key with half a letter", item("\xc3")},
+        {"key with half a surrogate pair", item(R"(\ud83c)")},
+        {"key with the other half", item(R"(\udf88)")},
+        {"key with both halves in the wrong order", item(R"(\udf88\ud83c)")},
+        {"key with a pair and a half", item(R"(\ud83c\udf88\ud83c)")},
+        {"key with a backslash before u", item(R"(\\ud83c)")},
+        {"key that is a number", R"({"key":7,"value":"e30=","revision":5})"},
+        {"no key", R"({"value":"e30=","revision":5})"},
+        {"value that is not base64", R"({"key":"servers/o","value":"*","revision":5})"},
+        {"value that is not UTF-8", "{\"key\":\"servers/o\",\"value\":\"\xff\",\"revision\":5}"},
+        {"large value", R"({"key":"servers/o","value":")" + value + R"(","revision":5})"},
+        {"revision that is a text", R"({"key":"servers/o","value":"e30=","revision":"5"})"},
+        {"item that is no object", "[]"},
+    };
+}
+
 } // namespace
 
 /// Guards against listings of the store that do not go on behind an item of another writer.
 class store_listing_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(store_listing_test);
     CPPUNIT_TEST(listings_go_on_behind_odd_keys);
+    CPPUNIT_TEST(odd_items_cost_no_others);
+    CPPUNIT_TEST(odd_changes_cost_no_others);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -73,7 +139,50 @@
         }
     }
 
+    void odd_items_cost_no_others() {
+        for_each_row(odd_items(), [](odd_item const& tested) {
+            // The odd item ends a page, stands inside one, and ends the listing.
+            auto const listing = list_pages({page(item("a") + "," + tested.item, true),
+                                             page(item("b") + "," + tested.item + "," + item("c"), true),
+                                             page(item("d") + "," + tested.item, false)});
+            CPPUNIT_ASSERT_MESSAGE(listing ? "" : listing.error().message, listing.has_value());
+            for (auto const* name : {"a", "b", "c", "d"})
+                CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, std::ranges::count(listing.value().items, std::string{name},
+                                                                           &forwarding::publication::name));
+        });
+    }
+
+    void odd_changes_cost_no_others() {
+        for_each_row(odd_items(), [](odd_item const& tested) {
+            asio::io_context context;
+            scripted_store store{context,
+                                 {R"({"asOf":9,"events":[)" + item("a") + "," + tested.item + "," + item("b") + "]}"}};
+            CPPUNIT_ASSERT(store.listen(store_address()).has_value());
+            std::optional<base::result<platform::store_changes>> seen;
+            auto const address = network::parse_endpoint(store_address()).value();
+            asio::co_spawn(context, watch(context, address, seen), asio::detached);
+            context.run_for(10s);
+            CPPUNIT_ASSERT(seen.has_value());
+            CPPUNIT_ASSERT_MESSAGE(*seen ? "" : seen->error().message, seen->has_value());
+            for (auto const* name : {"a", "b"})
+                CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1}, std::ranges::count(seen->value().items, std::string{name},
+                                                                           &forwarding::publication::name));
+        });
+    }
+
 private:
+    static base::result<publication_listing> list_pages(std::vector<std::string> pages) {
+        asio::io_context context;
+        scripted_store store{context, std::move(pages)};
+        CPPUNIT_ASSERT(store.listen(store_address()).has_value());
+        listing_result seen;
+        auto const address = network::parse_endpoint(store_address()).value();
+        asio::co_spawn(context, list(context, address, store_part::targets, seen), asio::detached);
+        context.run_for(10s);
+        CPPUNIT_ASSERT(seen.has_value());
+        return *seen;
+    }
+
     static void put(platform::standin::store_standin& store, store_part part, std::string const& name) {
         if (part == store_part::operators)
             store.put_evacuation(name);
