--- a/Tests/platform/store_listing_test.cpp
+++ b/Tests/platform/store_listing_test.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST(odd_items_cost_no_others);
     CPPUNIT_TEST(odd_changes_cost_no_others);
     CPPUNIT_TEST(listings_that_do_not_go_on_have_a_gap);
+    CPPUNIT_TEST(large_values_cost_no_others);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -199,6 +200,22 @@
         });
     }
 
+    // Guards against values of other writers that together use up what a listing may take.
+    void large_values_cost_no_others() {
+        constexpr int page_count = 30;
+        std::string const value(800'000, 'A');
+        std::vector<std::string> pages;
+        for (int number = 100; number < 100 + page_count; ++number)
+            pages.push_back(
+                page(R"({"key":"servers/)" + std::to_string(number) + R"(","value":")" + value + R"(","revision":5})",
+                     true));
+        pages.push_back(page(item("sound"), false));
+        auto const listing = list_pages(std::move(pages));
+        CPPUNIT_ASSERT_MESSAGE(listing ? "" : listing.error().message, listing.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string{}, listing.value().gap);
+        CPPUNIT_ASSERT_EQUAL(std::string{"sound"}, listing.value().items.back().name);
+    }
+
 private:
     static base::result<publication_listing> list_pages(std::vector<std::string> pages,
                                                         store_part part = store_part::targets) {
