Let documents of another writer stand in the store of the soak

The soak's store listed everything in one page and had plain names only, so that no seed could show a listing that stops at a key of another writer. Which seeds have them is not drawn, so that what a seed draws stays the same.

--- a/Development/soak/fleet.cpp
+++ b/Development/soak/fleet.cpp
@@ -1,5 +1,7 @@
 #include "soak/fleet.h"
 
+#include "support/platform/odd_names.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -70,6 +72,8 @@
         BOOST_OUTCOME_TRYV(add_target(number, number < size_.engines));
     }
     publish_configuration();
+    if (size_.odd_publications)
+        write_odd_publications();
     std::vector<std::string> seeds;
     for (std::size_t number = 0; number < std::min(size_.seeds, size_.entries); ++number)
         seeds.push_back(at(host_ + std::to_string(10 + number), peer_port));
@@ -185,6 +189,18 @@
     store_.remove_target(site.target->id());
 }
 
+void fleet::write_odd_publications() {
+    // Each odd key ends a page now and then, while the targets beside it come and go.
+    constexpr std::size_t page_size = 3;
+    store_.set_page_size(page_size);
+    for (auto const& odd : platform::standin::odd_names()) {
+        // Under a name that no target can have, not even the whole document of a target makes one.
+        store_.put_target(odd.text, odd.may_name_a_target ? "{}" : targets_.front()->target->announcement());
+        store_.put_evacuation(odd.text);
+        odd_names_.insert(odd.text);
+    }
+}
+
 void fleet::on_crash(target_site& site, bool by_request) {
     site.proxy->stop_listening();
     site.proxy->end_connections();
@@ -276,7 +292,7 @@
     }
     // The leases of targets that are gone run out.
     for (auto const& id : store_.target_ids()) {
-        if (!running.contains(id))
+        if (!running.contains(id) && !odd_names_.contains(id))
             store_.remove_target(id);
     }
 }
--- a/Development/soak/fleet.h
+++ b/Development/soak/fleet.h
@@ -32,6 +32,8 @@
     bool agents{true};
     /// Software versions that the engines run. An engine that starts again may run another one.
     std::size_t versions{1};
+    /// Whether the store lists documents of another writer under odd names all the time, in small pages.
+    bool odd_publications{false};
     /// Slots that each target of the plain service announces.
     std::uint32_t service_slots{24};
     /// The program that runs as entries and agents.
@@ -108,6 +110,8 @@
 private:
     base::result<void> add_entry(std::size_t number, std::vector<std::string> const& seeds);
     base::result<void> add_target(std::size_t number, bool engine);
+    /// Stores documents of another writer that name no target to use.
+    void write_odd_publications();
     void on_crash(target_site& site, bool by_request);
     std::string any_version();
     boost::asio::awaitable<void> restart_later(target_site& site);
@@ -126,6 +130,7 @@
     std::uint64_t version_{0};
     std::string configuration_;
     std::set<std::string> evacuated_;
+    std::set<std::string> odd_names_;
 };
 
 /// The routes that every configuration has.
--- a/Development/soak/main.cpp
+++ b/Development/soak/main.cpp
@@ -297,6 +297,8 @@
     for (auto const& played : cases) {
         wanted.seconds = played.seconds;
         wanted.load = played.load;
+        // Not drawn, so that what a seed draws stays the same.
+        wanted.size.odd_publications = played.seed % 2 == 0;
         broken += soak_run{wanted, played.seed}.run() ? 0 : 1;
     }
     std::cout << cases.size() << " seeds, " << broken << " broken" << std::endl;
