--- a/Libraries/forwarding/publication_table.h
+++ b/Libraries/forwarding/publication_table.h
@@ -27,8 +27,8 @@
 public:
     /// Applies a change. Returns whether it is newer than the stored version.
     bool apply(publication change);
-    /// Applies a listing without a gap. Documents that are not in the listing are marked as removed unless they are newer
-    /// than it. Returns the changes.
+    /// Applies a listing without a gap. Documents that are not in the listing are marked as removed unless they are
+    /// newer than it. Returns the changes.
     std::vector<publication> reconcile(publication_listing listing);
     /// Returns the changes after the revision, including removals, in ascending order of revision.
     std::vector<publication> since(store_revision const& revision) const;
--- a/Libraries/http/message.h
+++ b/Libraries/http/message.h
@@ -25,8 +25,8 @@
 /// A header's value, or an empty view.
 std::string_view header_value(beast_http::fields const& headers, std::string_view name);
 
-/// Whether a text from outside can be the value of a header (RFC 9110, 5.5): it has no control bytes, which could end the
-/// header, and no blank at its ends, which receivers remove. Header libraries send any text as it is.
+/// Whether a text from outside can be the value of a header (RFC 9110, 5.5): it has no control bytes, which could end
+/// the header, and no blank at its ends, which receivers remove. Header libraries send any text as it is.
 bool can_be_header_value(std::string_view text);
 
 } // namespace cyclamenledge::http
